project: design page, package skeleton, value types and HTTP layer

Cause: the repository is empty; the design comes before the code. Ruled out: grpclib between daemons (needs an asyncio loop beside curio; import cost alone is about 2 MB of the 32 MB budget); per-key claims in the store (two writes a request) in favour of batched claim records.

--- /dev/null
+++ b/specs/__init__.py
@@ -0,0 +1,1 @@
+"""Models of the core protocols for the model checker."""
--- /dev/null
+++ b/src/nutmegworks/__init__.py
@@ -0,0 +1,1 @@
+"""Schedules multi-accelerator jobs under team guarantees."""
--- /dev/null
+++ b/src/nutmegworks/model/__init__.py
@@ -0,0 +1,1 @@
+"""Shared value types: ids, verdicts, shapes, classes, teams. No I/O."""
--- /dev/null
+++ b/src/nutmegworks/net/client.py
@@ -0,0 +1,199 @@
+"""One HTTP client connection that carries one request at a time."""
+from __future__ import annotations
+
+import dataclasses
+import enum
+import typing
+
+import curio
+import curio.socket
+import h11
+import result
+
+from nutmegworks.net import message
+
+Address = tuple[str, int]
+
+CONNECT_TIMEOUT_SECONDS: typing.Final = 1.0
+
+
+class Fault(enum.Enum):
+    """Why an exchange has no response."""
+
+    CONNECT = 'connect'
+    TIMEOUT = 'timeout'
+    CLOSED = 'closed'
+    PROTOCOL = 'protocol'
+    TOO_LARGE = 'too-large'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExchangeError:
+    """A failed exchange.
+
+    :param bytes_written: whether any byte may have reached the peer.
+    :param first_use: whether the connection had carried no exchange before.
+    """
+
+    fault: Fault
+    detail: str
+    bytes_written: bool
+    first_use: bool = True
+
+
+class Connection:
+    """An open connection; after any failed exchange it is closed."""
+
+    def __init__(self, sock: curio.io.Socket, address: Address) -> None:
+        self.address = address
+        self.exchanges = 0
+        self._sock = sock
+        self._http = h11.Connection(
+            h11.CLIENT,
+            max_incomplete_event_size=message.MAX_HEADER_BYTES,
+        )
+        self._open = True
+        self._written = False
+
+    @property
+    def reusable(self) -> bool:
+        return self._open and self._http.our_state is h11.IDLE
+
+    async def exchange(
+        self,
+        request: message.Request,
+        *,
+        timeout: float,
+        max_body: int = message.MAX_BODY_BYTES,
+    ) -> result.Result[message.Response, ExchangeError]:
+        """Send a request and read its whole response.
+
+        :param timeout: seconds for the whole exchange.
+        :param max_body: bytes of response body that are accepted.
+        """
+        self._written = False
+        finished = False
+        try:
+            async with curio.timeout_after(timeout):
+                response = await self._run(request, max_body)
+            finished = True
+        except curio.TaskTimeout:
+            return self._error(Fault.TIMEOUT, f'no answer in {timeout:.3f} s')
+        except message.BodyTooLargeError as error:
+            return self._error(Fault.TOO_LARGE, str(error))
+        except (h11.ProtocolError, ValueError) as error:
+            return self._error(Fault.PROTOCOL, str(error))
+        except (OSError, EOFError) as error:
+            return self._error(Fault.CLOSED, str(error))
+        finally:
+            # Also reached when the task is cancelled: a late answer must not
+            # be read as the answer to the next request.
+            if not finished:
+                await self.close()
+        self.exchanges += 1
+        await self._recycle()
+        return result.Ok(response)
+
+    def _error(self, fault: Fault, detail: str) -> result.Err[ExchangeError]:
+        return result.Err(
+            ExchangeError(fault, detail, self._written, self.exchanges == 0)
+        )
+
+    async def _run(
+        self,
+        request: message.Request,
+        max_body: int,
+    ) -> message.Response:
+        headers = {
+            'host': f'{self.address[0]}:{self.address[1]}',
+            **request.headers,
+        }
+        head = h11.Request(
+            method=request.method,
+            target=request.target,
+            headers=message.encode_headers(headers, request.body),
+        )
+        data = self._http.send(head) or b''
+        if request.body:
+            data += self._http.send(h11.Data(data=request.body)) or b''
+        data += self._http.send(h11.EndOfMessage()) or b''
+        self._written = True
+        await self._sock.sendall(data)
+        return await self._read_response(max_body)
+
+    async def _read_response(self, max_body: int) -> message.Response:
+        status = 0
+        headers: dict[str, str] = {}
+        body = bytearray()
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                status = event.status_code
+                headers = message.decode_headers(event)
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > max_body:
+                    raise message.BodyTooLargeError(
+                        f'response body exceeds {max_body} bytes'
+                    )
+            elif isinstance(event, h11.EndOfMessage):
+                return message.Response(status, headers, bytes(body))
+            elif isinstance(event, h11.ConnectionClosed):
+                raise EOFError('closed before the response')
+
+    async def _next_event(self) -> h11.Event:
+        while True:
+            event = self._http.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            data = await self._sock.recv(message.RECEIVE_BYTES)
+            self._http.receive_data(data)
+
+    async def _recycle(self) -> None:
+        done = h11.DONE
+        http = self._http
+        # Bytes after the response belong to no request of ours.
+        if http.trailing_data[0] or (http.our_state,
+                                     http.their_state) != (done, done):
+            await self.close()
+            return
+        http.start_next_cycle()
+
+    async def close(self) -> None:
+        """Close the socket; safe to call twice."""
+        if self._open:
+            self._open = False
+            await self._sock.close()
+
+
+async def connect(
+    address: Address,
+    *,
+    timeout: float = CONNECT_TIMEOUT_SECONDS,
+) -> result.Result[Connection, ExchangeError]:
+    """Open a connection.
+
+    :param timeout: seconds.
+    """
+    sock = curio.socket.socket()
+    sock.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
+    try:
+        async with curio.timeout_after(timeout):
+            await sock.connect(address)
+    except (OSError, curio.TaskTimeout) as error:
+        await sock.close()
+        return result.Err(ExchangeError(Fault.CONNECT, repr(error), False))
+    except BaseException:
+        await sock.close()
+        raise
+    return result.Ok(Connection(sock, address))
+
+
+__all__ = (
+    'Address',
+    'CONNECT_TIMEOUT_SECONDS',
+    'Connection',
+    'ExchangeError',
+    'Fault',
+    'connect',
+)
--- /dev/null
+++ b/src/nutmegworks/net/server.py
@@ -0,0 +1,290 @@
+"""Accepts HTTP connections and hands each request to a handler."""
+from __future__ import annotations
+
+import dataclasses
+import enum
+import typing
+
+import curio
+import curio.socket
+import h11
+
+from nutmegworks.model import verdict
+from nutmegworks.net import message
+
+Handler = typing.Callable[
+    [message.Request],
+    typing.Awaitable[message.Response],
+]
+
+LISTEN_BACKLOG: typing.Final = 1024
+# A drained server that still has open connections stops after this time.
+DRAIN_LIMIT_SECONDS: typing.Final = 60.0
+DRAIN_POLL_SECONDS: typing.Final = 0.02
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """What one connection may cost.
+
+    :param message_seconds: seconds for one whole request to arrive.
+    :param idle_seconds: seconds an idle connection stays open.
+    """
+
+    max_connections: int = 1024
+    max_body: int = message.MAX_BODY_BYTES
+    message_seconds: float = 10.0
+    idle_seconds: float = 30.0
+    write_seconds: float = 10.0
+
+
+class _State(enum.Enum):
+    SERVING = 'serving'
+    DRAINING = 'draining'
+
+
+class Server:
+    """Serves one listening socket until it is drained."""
+
+    def __init__(
+        self,
+        handler: Handler,
+        *,
+        limits: Limits | None = None,
+    ) -> None:
+        self._handler = handler
+        self._limits = limits or Limits()
+        self._state = _State.SERVING
+        self._open = 0
+        self._in_flight = 0
+        self._listener: curio.io.Socket | None = None
+        self._acceptor: curio.Task | None = None
+        self.address: tuple[str, int] = ('', 0)
+
+    @property
+    def in_flight(self) -> int:
+        return self._in_flight
+
+    async def start(self, host: str, port: int) -> None:
+        """Bind, listen and accept in a task of its own."""
+        sock = curio.socket.socket()
+        sock.setsockopt(curio.socket.SOL_SOCKET, curio.socket.SO_REUSEADDR, 1)
+        sock.bind((host, port))
+        sock.listen(LISTEN_BACKLOG)
+        self.address = sock.getsockname()
+        self._listener = sock
+        self._acceptor = await curio.spawn(self._accept, daemon=True)
+
+    def announce_stop(self) -> None:
+        """Ask callers to close: each response says ``Connection: close``."""
+        self._state = _State.DRAINING
+
+    async def drain(self, limit: float = DRAIN_LIMIT_SECONDS) -> bool:
+        """Stop accepting and wait until all requests are answered.
+
+        :param limit: seconds.
+        :return: whether every connection has ended.
+        """
+        self.announce_stop()
+        # Connections in the backlog would be reset by closing the listener.
+        await curio.sleep(DRAIN_POLL_SECONDS)
+        if self._acceptor is not None:
+            await self._acceptor.cancel()
+        if self._listener is not None:
+            await self._listener.close()
+        waited = 0.0
+        while self._open and waited < limit:
+            await curio.sleep(DRAIN_POLL_SECONDS)
+            waited += DRAIN_POLL_SECONDS
+        return self._open == 0
+
+    async def _accept(self) -> None:
+        assert self._listener is not None
+        while True:
+            try:
+                sock, _ = await self._listener.accept()
+            except OSError:
+                # Out of file descriptors: wait for connections to close.
+                await curio.sleep(0.1)
+                continue
+            await curio.spawn(self._serve, sock, daemon=True)
+
+    async def _serve(self, sock: curio.io.Socket) -> None:
+        self._open += 1
+        try:
+            async with sock:
+                sock.setsockopt(
+                    curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1
+                )
+                await _ServerConnection(self, sock).run()
+        except (OSError, curio.TaskTimeout):
+            # The caller is gone or does not read; nothing is left to answer.
+            pass
+        finally:
+            self._open -= 1
+
+
+class _ServerConnection:
+    """Reads requests from one socket and writes their responses."""
+
+    def __init__(self, server: Server, sock: curio.io.Socket) -> None:
+        self._server = server
+        self._limits = server._limits
+        self._sock = sock
+        self._http = h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=message.MAX_HEADER_BYTES,
+        )
+
+    async def run(self) -> None:
+        if self._server._open > self._limits.max_connections:
+            await self._refuse(
+                verdict.did_not_run(
+                    verdict.Reason.OVERLOADED,
+                    'too many connections',
+                    retry_after=1.0,
+                )
+            )
+            return
+        while await self._one_cycle():
+            self._http.start_next_cycle()
+
+    async def _one_cycle(self) -> bool:
+        try:
+            if not await self._first_bytes():
+                return False
+            async with curio.timeout_after(self._limits.message_seconds):
+                request = await self._read_request()
+        except h11.RemoteProtocolError as error:
+            await self._refuse(
+                verdict.did_not_run(verdict.Reason.BAD_REQUEST, str(error))
+            )
+            return False
+        except message.BodyTooLargeError as error:
+            await self._refuse(
+                verdict.did_not_run(verdict.Reason.TOO_LARGE, str(error))
+            )
+            return False
+        except curio.TaskTimeout:
+            await self._refuse(
+                verdict.did_not_run(
+                    verdict.Reason.BAD_REQUEST,
+                    'the request did not arrive in time',
+                )
+            )
+            return False
+        if request is None:
+            return False
+        return await self._answer(request)
+
+    async def _first_bytes(self) -> bool:
+        """Wait for the next request; an idle connection is closed."""
+        if self._http.trailing_data[0]:
+            return True
+        idle = self._limits.idle_seconds
+        while True:
+            if self._server._state is _State.DRAINING:
+                idle = min(idle, 1.0)
+            data = await curio.ignore_after(
+                min(idle, 1.0), self._sock.recv, message.RECEIVE_BYTES
+            )
+            if data is not None:
+                self._http.receive_data(data)
+                return bool(data)
+            idle -= 1.0
+            if idle <= 0:
+                return False
+
+    async def _read_request(self) -> message.Request | None:
+        head: h11.Request | None = None
+        body = bytearray()
+        while True:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                await self._send_continue()
+                data = await self._sock.recv(message.RECEIVE_BYTES)
+                self._http.receive_data(data)
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > self._limits.max_body:
+                    raise message.BodyTooLargeError(
+                        f'the body exceeds {self._limits.max_body} bytes'
+                    )
+            elif isinstance(event, h11.EndOfMessage) and head is not None:
+                return message.Request(
+                    head.method.decode('ascii'),
+                    head.target.decode('ascii'),
+                    message.decode_headers(head),
+                    bytes(body),
+                )
+            else:
+                return None
+
+    async def _send_continue(self) -> None:
+        if self._http.they_are_waiting_for_100_continue:
+            go = h11.InformationalResponse(status_code=100, headers=[])
+            await self._sock.sendall(self._http.send(go) or b'')
+
+    async def _answer(self, request: message.Request) -> bool:
+        self._server._in_flight += 1
+        try:
+            response = await self._server._handler(request)
+            await self._write(response)
+        finally:
+            self._server._in_flight -= 1
+        states = (self._http.our_state, self._http.their_state)
+        return states == (h11.DONE, h11.DONE)
+
+    async def _refuse(self, refusal: verdict.Refusal) -> None:
+        # After a protocol error h11 can no longer parse the request; it can
+        # still send a response if none was started.
+        if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        await self._write(refusal_response(refusal), close=True)
+
+    async def _write(
+        self,
+        response: message.Response,
+        *,
+        close: bool = False,
+    ) -> None:
+        headers = dict(response.headers)
+        if close or self._server._state is _State.DRAINING:
+            headers['connection'] = 'close'
+        http = self._http
+        data = http.send(
+            h11.Response(
+                status_code=response.status,
+                headers=message.encode_headers(headers, response.body),
+            )
+        ) or b''
+        if response.body:
+            data += http.send(h11.Data(data=response.body)) or b''
+        data += http.send(h11.EndOfMessage()) or b''
+        async with curio.timeout_after(self._limits.write_seconds):
+            await self._sock.sendall(data)
+
+
+def refusal_response(refusal: verdict.Refusal) -> message.Response:
+    """Return the HTTP form of a refusal."""
+    headers = {'nutmeg-verdict': refusal.verdict.value}
+    if refusal.retry_after is not None:
+        headers['retry-after'] = str(max(1, round(refusal.retry_after)))
+    value = {
+        'verdict': refusal.verdict.value,
+        'reason': refusal.reason.value,
+        'detail': refusal.detail,
+        'retry_after': refusal.retry_after,
+    }
+    return message.json_response(refusal.http_status, value, headers)
+
+
+__all__ = (
+    'DRAIN_LIMIT_SECONDS',
+    'Handler',
+    'Limits',
+    'Server',
+    'refusal_response',
+)
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform: store, host list, upstreams, workers."""
