platform: store, host list and upstream interfaces with stand-ins

Cause: every later package meets the platform through these interfaces. Ruled out: one generic RPC adapter; the three protocols differ in what a lost answer means. Change: ABCs and HTTP adapters, stand-ins with faults on command. A response must repeat the request id before its connection is used again.

--- a/src/nutmegworks/net/client.py
+++ b/src/nutmegworks/net/client.py
@@ -24,6 +24,7 @@
     TIMEOUT = 'timeout'
     CLOSED = 'closed'
     PROTOCOL = 'protocol'
+    MISMATCH = 'mismatch'
     TOO_LARGE = 'too-large'
 
 
@@ -65,17 +66,23 @@
         *,
         timeout: float,
         max_body: int = message.MAX_BODY_BYTES,
+        echo: str = '',
     ) -> result.Result[message.Response, ExchangeError]:
         """Send a request and read its whole response.
 
         :param timeout: seconds for the whole exchange.
         :param max_body: bytes of response body that are accepted.
+        :param echo: name of a request header that the response must repeat.
         """
         self._written = False
         finished = False
         try:
             async with curio.timeout_after(timeout):
                 response = await self._run(request, max_body)
+            if echo and response.headers.get(echo) != request.headers[echo]:
+                return self._error(
+                    Fault.MISMATCH, f'the response repeats no {echo}'
+                )
             finished = True
         except curio.TaskTimeout:
             return self._error(Fault.TIMEOUT, f'no answer in {timeout:.3f} s')
--- a/src/nutmegworks/net/pool.py
+++ b/src/nutmegworks/net/pool.py
@@ -39,11 +39,13 @@
         *,
         timeout: float,
         max_body: int = message.MAX_BODY_BYTES,
+        echo: str = '',
         fresh: bool = False,
     ) -> result.Result[message.Response, client.ExchangeError]:
         """Send a request over an idle or a new connection.
 
         :param timeout: seconds, including the time to connect.
+        :param echo: name of a request header that the response must repeat.
         :param fresh: open a new connection even if one is idle.
         """
         started = self._clock()
@@ -61,6 +63,7 @@
             request,
             timeout=left,
             max_body=max_body,
+            echo=echo,
         )
         await self._give_back(connection)
         return answer
--- a/src/nutmegworks/net/server.py
+++ b/src/nutmegworks/net/server.py
@@ -38,6 +38,19 @@
     write_seconds: float = 10.0
 
 
+class AbortConnection(Exception):
+    """Raised by a handler to close the connection without a response.
+
+    :param raw: bytes to write as they are before closing.
+    :param linger: seconds to keep the connection open after writing.
+    """
+
+    def __init__(self, raw: bytes = b'', linger: float = 0.0) -> None:
+        super().__init__('connection aborted by the handler')
+        self.raw = raw
+        self.linger = linger
+
+
 class _State(enum.Enum):
     SERVING = 'serving'
     DRAINING = 'draining'
@@ -232,6 +245,10 @@
         try:
             response = await self._server._handler(request)
             await self._write(response)
+        except AbortConnection as abort:
+            await self._sock.sendall(abort.raw)
+            await curio.sleep(abort.linger)
+            return False
         finally:
             self._server._in_flight -= 1
         states = (self._http.our_state, self._http.their_state)
@@ -282,6 +299,7 @@
 
 
 __all__ = (
+    'AbortConnection',
     'DRAIN_LIMIT_SECONDS',
     'Handler',
     'Limits',
--- /dev/null
+++ b/src/nutmegworks/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces to the platform and one HTTP adapter for each."""
--- /dev/null
+++ b/src/nutmegworks/platform/hosts.py
@@ -0,0 +1,129 @@
+"""The platform's list of live and leaving hosts."""
+from __future__ import annotations
+
+import abc
+import dataclasses
+import enum
+
+import msgspec
+import result
+
+from nutmegworks.model import ids
+from nutmegworks.net import client
+from nutmegworks.net import message
+from nutmegworks.net import pool
+
+LIST_TIMEOUT_SECONDS = 1.0
+
+
+class HostRole(enum.Enum):
+    DAEMON = 'daemon'
+    UPSTREAM = 'upstream'
+    WORKER = 'worker'
+
+
+class HostState(enum.Enum):
+    LIVE = 'live'
+    LEAVING = 'leaving'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Host:
+    """A host as listed; the list lags behind the truth.
+
+    :param service_id: the service of an upstream; empty for other roles.
+    :param rack_id: the rack of a worker; empty for other roles.
+    """
+
+    host_id: str
+    role: HostRole
+    address: client.Address
+    domain_id: ids.DomainId
+    state: HostState
+    service_id: ids.ServiceId = ids.ServiceId('')
+    rack_id: ids.RackId = ids.RackId('')
+
+
+class HostList(abc.ABC):
+
+    @abc.abstractmethod
+    async def fetch(self) -> result.Result[tuple[Host, ...], str]:
+        """Return all listed hosts, or a sentence that says what failed."""
+
+
+class _Host(msgspec.Struct):
+    host_id: str
+    role: str
+    address: str
+    domain: str
+    state: str
+    service: str = ''
+    rack: str = ''
+
+
+class _Hosts(msgspec.Struct):
+    hosts: list[_Host]
+
+
+class HttpHostList(HostList):
+    """A host list that is reached over HTTP."""
+
+    def __init__(
+        self,
+        address: client.Address,
+        *,
+        connections: pool.Pool | None = None,
+    ) -> None:
+        self._address = address
+        self._pool = connections or pool.Pool()
+
+    async def fetch(self) -> result.Result[tuple[Host, ...], str]:
+        answer = await self._pool.exchange(
+            self._address,
+            message.Request('GET', '/v1/hosts'),
+            timeout=LIST_TIMEOUT_SECONDS,
+            max_body=16 * message.MAX_BODY_BYTES,
+        )
+        if isinstance(answer, result.Err):
+            return result.Err(answer.err_value.detail)
+        if answer.ok_value.status != 200:
+            return result.Err(f'status {answer.ok_value.status}')
+        try:
+            hosts = msgspec.json.decode(answer.ok_value.body, type=_Hosts)
+            return result.Ok(tuple(_host(item) for item in hosts.hosts))
+        except (msgspec.DecodeError, ValueError) as error:
+            return result.Err(str(error))
+
+
+def _host(item: _Host) -> Host:
+    return Host(
+        item.host_id,
+        HostRole(item.role),
+        parse_address(item.address),
+        ids.DomainId(item.domain),
+        HostState(item.state),
+        ids.ServiceId(item.service),
+        ids.RackId(item.rack),
+    )
+
+
+def parse_address(text: str) -> client.Address:
+    """Read ``ip:port``.
+
+    :raises ValueError: if the text is not an address.
+
+    >>> parse_address('127.0.0.1:80')
+    ('127.0.0.1', 80)
+    """
+    host, _, port = text.rpartition(':')
+    return host, int(port)
+
+
+__all__ = (
+    'Host',
+    'HostList',
+    'HostRole',
+    'HostState',
+    'HttpHostList',
+    'parse_address',
+)
--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,353 @@
+"""A stand-in for the platform's key-value store, with faults on command."""
+from __future__ import annotations
+
+import time
+import typing
+import urllib.parse
+
+import curio
+import msgspec
+import sortedcontainers
+import typer
+
+from nutmegworks.net import message
+from nutmegworks.net import server
+from standins import service
+
+MAX_VALUE_BYTES: typing.Final = 1024 * 1024
+MAX_WATCH_SECONDS: typing.Final = 60.0
+SILENT_SECONDS: typing.Final = 3600.0
+WATCH_POLL_SECONDS: typing.Final = 0.005
+
+
+class Faults(msgspec.Struct):
+    """Faults in force.
+
+    :param down: refuse every call with 503.
+    :param silent: accept calls and never answer.
+    :param delay: seconds before each call is handled.
+    :param lose_answers: apply writes, then close without a response; counts
+        down, -1 is for ever.
+    :param drop_writes: close without applying or answering; counts down.
+    :param silent_watches: watches never answer.
+    :param stale_reads: answer reads as of this many revisions ago.
+    :param rate: calls per second, 0 for no limit.
+    """
+
+    down: bool = False
+    silent: bool = False
+    delay: float = 0.0
+    lose_answers: int = 0
+    drop_writes: int = 0
+    silent_watches: bool = False
+    stale_reads: int = 0
+    rate: float = 0.0
+
+
+class _Lease(msgspec.Struct):
+    ttl: float
+    expires: float
+    keys: set[str]
+
+
+class _Version(msgspec.Struct):
+    revision: int
+    value: bytes | None
+
+
+class StoreStandIn:
+    """Holds everything in memory; one counter numbers all changes."""
+
+    def __init__(
+        self,
+        clock: typing.Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.faults = Faults()
+        self.calls: dict[str, int] = {}
+        self._clock = clock
+        self._revision = 0
+        self._versions_by_key: typing.Any = sortedcontainers.SortedDict()
+        self._lease_by_id: dict[str, _Lease] = {}
+        self._lease_count = 0
+        self._allowance = 0.0
+        self._allowance_at = clock()
+        self._waiting = 0
+        self._routes: dict[
+            tuple[str, str],
+            typing.Callable[..., typing.Awaitable[message.Response]],
+        ] = {
+            ('GET', 'kv'): self._get,
+            ('PUT', 'kv'): self._put,
+            ('DELETE', 'kv'): self._delete,
+            ('GET', 'range'): self._range,
+            ('GET', 'watch'): self._watch,
+            ('POST', 'leases'): self._lease,
+            ('DELETE', 'leases'): self._revoke,
+        }
+
+    async def handle(self, request: message.Request) -> message.Response:
+        """Serve one call."""
+        parts = urllib.parse.urlsplit(request.target)
+        path = urllib.parse.unquote(parts.path)
+        if path == '/fault':
+            self.faults = msgspec.json.decode(request.body, type=Faults)
+            return message.json_response(200, {})
+        if path == '/calls':
+            return message.json_response(
+                200, {
+                    'calls': self.calls,
+                    'waiting': self._waiting
+                }
+            )
+        refused = await self._apply_faults()
+        if refused is not None:
+            return refused
+        self._expire_leases()
+        _, _, kind, *rest = path.split('/', 3)
+        name = f'{request.method} {kind}'
+        self.calls[name] = self.calls.get(name, 0) + 1
+        query = dict(urllib.parse.parse_qsl(parts.query))
+        route = self._routes.get((request.method, kind))
+        if route is None:
+            return message.json_response(404, {})
+        return await route(rest[0] if rest else '', request, query)
+
+    async def _apply_faults(self) -> message.Response | None:
+        faults = self.faults
+        if faults.silent:
+            await curio.sleep(SILENT_SECONDS)
+        if faults.delay:
+            await curio.sleep(faults.delay)
+        if faults.down:
+            return message.json_response(503, {'detail': 'down'})
+        if faults.rate and not self._take_allowance(faults.rate):
+            return message.json_response(429, {'detail': 'over the rate'})
+        return None
+
+    def _take_allowance(self, rate: float) -> bool:
+        now = self._clock()
+        grown = self._allowance + (now - self._allowance_at) * rate
+        self._allowance = min(rate, grown)
+        self._allowance_at = now
+        if self._allowance < 1.0:
+            return False
+        self._allowance -= 1.0
+        return True
+
+    def _expire_leases(self) -> None:
+        now = self._clock()
+        for lease_id, lease in list(self._lease_by_id.items()):
+            if lease.expires <= now:
+                self._end_lease(lease_id)
+
+    def _end_lease(self, lease_id: str) -> None:
+        lease = self._lease_by_id.pop(lease_id)
+        for key in lease.keys:
+            if self._latest(key).value is not None:
+                self._write(key, None)
+
+    def _latest(self, key: str) -> _Version:
+        versions = self._versions_by_key.get(key)
+        return versions[-1] if versions else _Version(0, None)
+
+    def _as_read(self, key: str) -> _Version:
+        """Return the version a reader sees, which may be stale."""
+        limit = self._revision - self.faults.stale_reads
+        for version in reversed(self._versions_by_key.get(key, [])):
+            if version.revision <= limit or not self.faults.stale_reads:
+                return version
+        return _Version(0, None)
+
+    def _write(self, key: str, value: bytes | None) -> int:
+        self._revision += 1
+        versions = self._versions_by_key.setdefault(key, [])
+        versions.append(_Version(self._revision, value))
+        del versions[:-8]
+        for lease in self._lease_by_id.values():
+            lease.keys.discard(key)
+        return self._revision
+
+    def _write_fault(self) -> None:
+        if self.faults.drop_writes:
+            self.faults.drop_writes -= 1
+            raise server.AbortConnection()
+
+    def _answer_fault(self) -> None:
+        if self.faults.lose_answers:
+            self.faults.lose_answers -= 1
+            raise server.AbortConnection()
+
+    async def _get(
+        self,
+        key: str,
+        request: message.Request,
+        query: dict[str, str],
+    ) -> message.Response:
+        version = self._as_read(key)
+        if version.value is None:
+            return message.json_response(404, {})
+        headers = {'store-revision': str(version.revision)}
+        return message.Response(200, headers, version.value)
+
+    def _conflict(
+        self,
+        key: str,
+        request: message.Request,
+    ) -> message.Response | None:
+        latest = self._latest(key)
+        current = latest.revision if latest.value is not None else 0
+        if int(request.headers.get('if-revision', '0')) == current:
+            return None
+        headers = {'store-revision': str(current)}
+        return message.json_response(409, {}, headers)
+
+    async def _put(
+        self,
+        key: str,
+        request: message.Request,
+        query: dict[str, str],
+    ) -> message.Response:
+        self._write_fault()
+        if len(request.body) > MAX_VALUE_BYTES:
+            return message.json_response(413, {})
+        refused = self._conflict(key, request)
+        if refused is not None:
+            return refused
+        lease_id = request.headers.get('lease-id')
+        if lease_id is not None and lease_id not in self._lease_by_id:
+            return message.json_response(409, {'detail': 'lease expired'})
+        revision = self._write(key, request.body)
+        if lease_id is not None:
+            self._lease_by_id[lease_id].keys.add(key)
+        self._answer_fault()
+        headers = {'store-revision': str(revision)}
+        return message.json_response(200, {}, headers)
+
+    async def _delete(
+        self,
+        key: str,
+        request: message.Request,
+        query: dict[str, str],
+    ) -> message.Response:
+        self._write_fault()
+        refused = self._conflict(key, request)
+        if refused is not None:
+            return refused
+        self._write(key, None)
+        self._answer_fault()
+        return message.json_response(200, {})
+
+    def _page(
+        self,
+        prefix: str,
+        after: str,
+        after_revision: int,
+        limit: int,
+    ) -> message.Response:
+        items = []
+        start = max(prefix, after)
+        for key in self._versions_by_key.irange(start):
+            if not key.startswith(prefix):
+                break
+            version = self._as_read(key)
+            wanted = version.revision > after_revision
+            if after_revision == 0 and version.value is None:
+                wanted = False
+            if key > after and wanted:
+                items.append(
+                    {
+                        'key': key,
+                        'revision': version.revision,
+                        'value': version.value,
+                    }
+                )
+            if len(items) >= limit:
+                break
+        value = {'items': items, 'revision': self._revision}
+        return message.json_response(200, value)
+
+    async def _range(
+        self,
+        rest: str,
+        request: message.Request,
+        query: dict[str, str],
+    ) -> message.Response:
+        limit = int(query.get('limit', '100'))
+        prefix = query.get('prefix', '')
+        return self._page(prefix, query.get('after', ''), 0, limit)
+
+    async def _watch(
+        self,
+        rest: str,
+        request: message.Request,
+        query: dict[str, str],
+    ) -> message.Response:
+        prefix = query.get('prefix', '')
+        after = int(query.get('after_revision', '0'))
+        wait = min(float(query.get('wait', '0')), MAX_WATCH_SECONDS)
+        deadline = self._clock() + wait
+        self._waiting += 1
+        seen = -1
+        try:
+            while self._clock() < deadline:
+                if self.faults.silent_watches:
+                    await curio.sleep(SILENT_SECONDS)
+                self._expire_leases()
+                if seen != self._revision and self._changed(prefix, after):
+                    break
+                seen = self._revision
+                await curio.sleep(WATCH_POLL_SECONDS)
+        finally:
+            self._waiting -= 1
+        return self._page(prefix, '', after, 1000)
+
+    def _changed(self, prefix: str, after: int) -> bool:
+        for key in self._versions_by_key.irange(prefix):
+            if not key.startswith(prefix):
+                return False
+            if self._latest(key).revision > after:
+                return True
+        return False
+
+    async def _lease(
+        self,
+        rest: str,
+        request: message.Request,
+        query: dict[str, str],
+    ) -> message.Response:
+        if rest:
+            return self._renew(rest.partition('/')[0])
+        ttl = float(msgspec.json.decode(request.body)['ttl'])
+        self._lease_count += 1
+        lease_id = f'lease-{self._lease_count}'
+        self._lease_by_id[lease_id] = _Lease(ttl, self._clock() + ttl, set())
+        return message.json_response(200, {'lease_id': lease_id})
+
+    def _renew(self, lease_id: str) -> message.Response:
+        lease = self._lease_by_id.get(lease_id)
+        if lease is None:
+            return message.json_response(409, {})
+        lease.expires = self._clock() + lease.ttl
+        return message.json_response(200, {})
+
+    async def _revoke(
+        self,
+        rest: str,
+        request: message.Request,
+        query: dict[str, str],
+    ) -> message.Response:
+        if rest in self._lease_by_id:
+            self._end_lease(rest)
+        return message.json_response(200, {})
+
+
+def main(host: str = '127.0.0.1', port: int = 0) -> None:
+    """Run the stand-in and print its address."""
+    stand_in = StoreStandIn()
+    curio.run(service.serve_until_signal, stand_in.handle, host, port)
+
+
+if __name__ == '__main__':
+    typer.run(main)
+
+__all__ = ('Faults', 'StoreStandIn', 'main')
--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,39 @@
+"""Runs servers and stand-ins inside a test's own curio kernel."""
+from __future__ import annotations
+
+import contextlib
+import typing
+
+import curio
+
+from nutmegworks.net import client
+from nutmegworks.net import server
+
+RUN_LIMIT_SECONDS: typing.Final = 60.0
+
+
+@contextlib.asynccontextmanager
+async def serving(
+    handler: server.Handler,
+    *,
+    limits: server.Limits | None = None,
+) -> typing.AsyncIterator[client.Address]:
+    """Serve a handler on a free loopback port."""
+    service = server.Server(handler, limits=limits)
+    await service.start('127.0.0.1', 0)
+    try:
+        yield service.address
+    finally:
+        await service.drain(limit=0.0)
+
+
+def run(main: typing.Callable[[], typing.Awaitable[None]]) -> None:
+    """Run a test's coroutine with a time limit."""
+
+    async def bounded() -> None:
+        await curio.timeout_after(RUN_LIMIT_SECONDS, main)
+
+    curio.run(bounded)
+
+
+__all__ = ('run', 'serving')
