--- /dev/null
+++ b/src/nutmegworks/entry/classify.py
@@ -0,0 +1,73 @@
+"""Finds the class of work and checks that the team is entitled to it."""
+from __future__ import annotations
+
+import typing
+
+import result
+
+from nutmegworks.entry import context as entry_context
+from nutmegworks.entry import filter as entry_filter
+from nutmegworks.model import ids
+from nutmegworks.model import published
+from nutmegworks.model import verdict
+from nutmegworks.model import work
+
+CLASS_HEADER: typing.Final = 'nutmeg-class'
+
+
+def find_class(
+    configuration: work.Configuration,
+    class_id: str,
+    team_id: ids.TeamId,
+) -> result.Result[work.WorkClass, verdict.Refusal]:
+    """Return the class if it exists and the team is entitled to it."""
+    found = configuration.class_by_id.get(ids.ClassId(class_id))
+    if found is None:
+        return result.Err(
+            verdict.did_not_run(
+                verdict.Reason.UNKNOWN_CLASS,
+                f'there is no class {class_id!r}',
+            )
+        )
+    if team_id not in found.team_ids:
+        return result.Err(
+            verdict.did_not_run(
+                verdict.Reason.FORBIDDEN,
+                f'team {team_id} is not entitled to class {class_id}',
+            )
+        )
+    return result.Ok(found)
+
+
+class ClassifyFilter(entry_filter.Filter):
+
+    def __init__(
+        self,
+        configuration: published.Published[work.Configuration],
+    ) -> None:
+        self._configuration = configuration
+
+    async def handle(
+        self,
+        context: entry_context.RequestContext,
+        proceed: entry_filter.Proceed,
+    ) -> entry_filter.Outcome:
+        configuration = self._configuration.value
+        assert configuration is not None
+        class_id = context.request.headers.get(CLASS_HEADER, '')
+        found = find_class(configuration, class_id, context.team_id)
+        if isinstance(found, result.Err):
+            return found
+        context.work_class = found.ok_value
+        if context.work_class.service_id != context.service_id:
+            return entry_filter.refuse(
+                verdict.did_not_run(
+                    verdict.Reason.UNKNOWN_SERVICE,
+                    f'class {class_id} does not belong to service '
+                    f'{context.service_id!r}',
+                )
+            )
+        return await proceed(context)
+
+
+__all__ = ('CLASS_HEADER', 'ClassifyFilter', 'find_class')
--- /dev/null
+++ b/src/nutmegworks/entry/deadline.py
@@ -0,0 +1,55 @@
+"""Fixes the moment after which an answer is of no use."""
+from __future__ import annotations
+
+import time
+import typing
+
+from nutmegworks.entry import context as entry_context
+from nutmegworks.entry import filter as entry_filter
+from nutmegworks.model import verdict
+
+DEADLINE_HEADER: typing.Final = 'nutmeg-deadline-ms'
+
+
+class DeadlineFilter(entry_filter.Filter):
+    """Takes the caller's remaining time, or the class target.
+
+    :param longest: seconds; a stopping daemon waits no longer than this.
+    """
+
+    def __init__(
+        self,
+        *,
+        longest: float,
+        clock: typing.Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._longest = longest
+        self._clock = clock
+
+    async def handle(
+        self,
+        context: entry_context.RequestContext,
+        proceed: entry_filter.Proceed,
+    ) -> entry_filter.Outcome:
+        text = context.request.headers.get(DEADLINE_HEADER)
+        left = context.entitled_class.target
+        if text is not None:
+            if not text.isascii() or not text.isdigit() or len(text) > 9:
+                return _refuse(
+                    verdict.Reason.BAD_REQUEST,
+                    f'{DEADLINE_HEADER} is not a number of milliseconds',
+                )
+            left = int(text) / 1000
+        context.deadline = context.received + min(left, self._longest)
+        if context.deadline <= self._clock():
+            return _refuse(
+                verdict.Reason.DEADLINE, 'no time is left to run the request'
+            )
+        return await proceed(context)
+
+
+def _refuse(reason: verdict.Reason, detail: str) -> entry_filter.Outcome:
+    return entry_filter.refuse(verdict.did_not_run(reason, detail))
+
+
+__all__ = ('DEADLINE_HEADER', 'DeadlineFilter')
--- /dev/null
+++ b/src/nutmegworks/entry/dispatch.py
@@ -0,0 +1,261 @@
+"""Sends a request to upstreams until one answers or time runs out."""
+from __future__ import annotations
+
+import abc
+import dataclasses
+import time
+import typing
+
+import curio
+import result
+
+from nutmegworks.entry import context as entry_context
+from nutmegworks.entry import filter as entry_filter
+from nutmegworks.model import ids
+from nutmegworks.model import verdict
+from nutmegworks.net import client
+from nutmegworks.net import message
+from nutmegworks.platform import upstreams
+from nutmegworks.telemetry import metrics as telemetry_metrics
+from nutmegworks.telemetry import spans
+
+# An attempt of an idempotent request takes at most this part of the time
+# left, so that a silent connection leaves time for another attempt.
+ATTEMPT_PART_OF_TIME_LEFT: typing.Final = 0.5
+FULL_POOL_WAIT_SECONDS: typing.Final = 0.01
+NO_UPSTREAM_RETRY_SECONDS: typing.Final = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Selected:
+    """The upstream for one attempt."""
+
+    upstream_id: ids.UpstreamId
+    address: client.Address
+
+
+class UpstreamSelector(abc.ABC):
+    """Chooses upstreams and learns from the results of attempts."""
+
+    @abc.abstractmethod
+    def select(
+        self,
+        service_id: ids.ServiceId,
+        *,
+        excluded: typing.AbstractSet[ids.UpstreamId],
+    ) -> Selected | None:
+        """Return an upstream that accepts work, or None.
+
+        The attempt counts as outstanding until it is finished.
+        """
+
+    @abc.abstractmethod
+    def finished(
+        self,
+        upstream_id: ids.UpstreamId,
+        error: upstreams.CallError | None,
+    ) -> None:
+        """Record the result of the attempt."""
+
+
+class RetryPermit(abc.ABC):
+    """Says whether one more attempt may be made."""
+
+    @abc.abstractmethod
+    def request_started(self, class_id: ids.ClassId) -> None:
+        """Count a first attempt."""
+
+    @abc.abstractmethod
+    def allow_retry(self, class_id: ids.ClassId) -> bool:
+        """Take one retry from the budget, if there is one."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Progress:
+    """What the attempts of one request have shown so far."""
+
+    may_have_run: bool = False
+    excluded: set[ids.UpstreamId] = dataclasses.field(default_factory=set)
+    last_error: upstreams.CallError | None = None
+
+    def refusal(
+        self,
+        reason: verdict.Reason,
+        detail: str,
+        retry_after: float | None = None,
+    ) -> entry_filter.Outcome:
+        outcome = verdict.Verdict.DID_NOT_RUN
+        if self.may_have_run:
+            outcome = verdict.Verdict.MAY_HAVE_RUN
+        return entry_filter.refuse(
+            verdict.Refusal(outcome, reason, detail, retry_after)
+        )
+
+
+_REASON_BY_FAULT: typing.Final = {
+    upstreams.CallFault.REFUSED: verdict.Reason.UPSTREAM_REFUSED,
+    upstreams.CallFault.TIMEOUT: verdict.Reason.DEADLINE,
+}
+
+
+class Dispatcher:
+    """The last step of the chain."""
+
+    def __init__(
+        self,
+        selector: UpstreamSelector,
+        upstream_client: upstreams.UpstreamClient,
+        retries: RetryPermit,
+        tracer: spans.Tracer,
+        metrics: telemetry_metrics.Metrics,
+        *,
+        clock: typing.Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._selector = selector
+        self._client = upstream_client
+        self._retries = retries
+        self._tracer = tracer
+        self._metrics = metrics
+        self._clock = clock
+
+    async def dispatch(
+        self,
+        context: entry_context.RequestContext,
+    ) -> entry_filter.Outcome:
+        """Run the request on one upstream after another."""
+        progress = _Progress()
+        self._retries.request_started(context.entitled_class.class_id)
+        while True:
+            selected = await self._select(context, progress)
+            if selected is None:
+                return self._give_up(context, progress)
+            answer = await self._attempt(context, selected)
+            if isinstance(answer, result.Ok):
+                return result.Ok(_response(context, answer.ok_value))
+            refused = self._after_error(
+                context, progress, selected, answer.err_value
+            )
+            if refused is not None:
+                return refused
+
+    async def _select(
+        self,
+        context: entry_context.RequestContext,
+        progress: _Progress,
+    ) -> Selected | None:
+        while self._clock() < context.deadline:
+            selected = self._selector.select(
+                context.service_id, excluded=progress.excluded
+            )
+            if selected is not None:
+                return selected
+            # Every upstream may have been tried once; the next choice is
+            # free again.
+            progress.excluded.clear()
+            await curio.sleep(FULL_POOL_WAIT_SECONDS)
+        return None
+
+    def _give_up(
+        self,
+        context: entry_context.RequestContext,
+        progress: _Progress,
+    ) -> entry_filter.Outcome:
+        if progress.last_error is not None:
+            return progress.refusal(
+                verdict.Reason.DEADLINE,
+                f'no time is left; last failure: {progress.last_error.detail}',
+            )
+        return progress.refusal(
+            verdict.Reason.NO_UPSTREAM,
+            f'no upstream of {context.service_id} took the request in time',
+            NO_UPSTREAM_RETRY_SECONDS,
+        )
+
+    async def _attempt(
+        self,
+        context: entry_context.RequestContext,
+        selected: Selected,
+    ) -> result.Result[upstreams.CallResponse, upstreams.CallError]:
+        context.attempts += 1
+        assert context.span is not None
+        span = self._tracer.start(
+            'upstream', traceparent=context.span.traceparent
+        )
+        idempotent = context.entitled_class.idempotent
+        left = max(0.001, context.deadline - self._clock())
+        timeout = left * ATTEMPT_PART_OF_TIME_LEFT if idempotent else left
+        call = upstreams.Call(
+            ids.RequestId(f'{context.request_id}.{context.attempts}'),
+            context.service_id,
+            context.entitled_class.class_id,
+            timeout,
+            context.request.body,
+            span.traceparent,
+        )
+        error: upstreams.CallError | None = None
+        try:
+            # A non-idempotent request has one attempt, so it must not be
+            # written to an idle connection that may have gone silent.
+            answer = await self._client.run(
+                selected.address, call, fresh=not idempotent
+            )
+            error = answer.err()
+        finally:
+            self._selector.finished(selected.upstream_id, error)
+            span.attributes['upstream'] = selected.upstream_id
+            span.attributes['fault'] = error.fault.value if error else ''
+            self._tracer.finish(span)
+        return answer
+
+    def _after_error(
+        self,
+        context: entry_context.RequestContext,
+        progress: _Progress,
+        selected: Selected,
+        error: upstreams.CallError,
+    ) -> entry_filter.Outcome | None:
+        """Return a refusal, or None if another attempt may be made."""
+        class_id = context.entitled_class.class_id
+        self._metrics.attempts.inc(
+            {
+                'class': class_id,
+                'result': error.fault.value
+            }
+        )
+        progress.last_error = error
+        ran = error.verdict is not verdict.Verdict.DID_NOT_RUN
+        progress.may_have_run = progress.may_have_run or ran
+        progress.excluded.add(selected.upstream_id)
+        reason = _REASON_BY_FAULT.get(
+            error.fault, verdict.Reason.UPSTREAM_FAILED
+        )
+        if ran and not context.entitled_class.idempotent:
+            return progress.refusal(reason, error.detail)
+        if not self._retries.allow_retry(class_id):
+            return progress.refusal(
+                reason,
+                f'the retry budget is used up: {error.detail}',
+                NO_UPSTREAM_RETRY_SECONDS,
+            )
+        return None
+
+
+def _response(
+    context: entry_context.RequestContext,
+    answer: upstreams.CallResponse,
+) -> message.Response:
+    headers = {
+        'content-type': answer.content_type,
+        'nutmeg-request-id': context.request_id,
+        'nutmeg-verdict': verdict.Verdict.RAN.value,
+    }
+    return message.Response(200, headers, answer.body)
+
+
+__all__ = (
+    'ATTEMPT_PART_OF_TIME_LEFT',
+    'Dispatcher',
+    'RetryPermit',
+    'Selected',
+    'UpstreamSelector',
+)
--- /dev/null
+++ b/src/nutmegworks/entry/filter.py
@@ -0,0 +1,52 @@
+"""The interface of a filter and the chain that runs filters in order."""
+from __future__ import annotations
+
+import abc
+import typing
+
+import result
+
+from nutmegworks.entry import context as entry_context
+from nutmegworks.model import verdict
+from nutmegworks.net import message
+
+Outcome = result.Result[message.Response, verdict.Refusal]
+Proceed = typing.Callable[
+    [entry_context.RequestContext],
+    typing.Awaitable[Outcome],
+]
+
+
+class Filter(abc.ABC):
+
+    @abc.abstractmethod
+    async def handle(
+        self,
+        context: entry_context.RequestContext,
+        proceed: Proceed,
+    ) -> Outcome:
+        """Refuse the request, or let the rest of the chain handle it."""
+
+
+def chain(filters: typing.Sequence[Filter], last: Proceed) -> Proceed:
+    """Return one callable that runs the filters before the last step."""
+    proceed = last
+    for item in reversed(filters):
+        proceed = _bind(item, proceed)
+    return proceed
+
+
+def _bind(item: Filter, proceed: Proceed) -> Proceed:
+
+    async def run(context: entry_context.RequestContext) -> Outcome:
+        return await item.handle(context, proceed)
+
+    return run
+
+
+def refuse(refusal: verdict.Refusal) -> Outcome:
+    """Return a refusal as an outcome."""
+    return result.Err(refusal)
+
+
+__all__ = ('Filter', 'Outcome', 'Proceed', 'chain', 'refuse')
--- /dev/null
+++ b/src/nutmegworks/model/published.py
@@ -0,0 +1,32 @@
+"""A value that one task publishes and others read without waiting."""
+from __future__ import annotations
+
+import typing
+
+T = typing.TypeVar('T')
+
+
+class Published(typing.Generic[T]):
+    """Holds the latest immutable value of its publisher.
+
+    >>> holder = Published[int]()
+    >>> holder.publish(3)
+    >>> holder.value
+    3
+    """
+
+    __slots__ = ('_value', )
+
+    def __init__(self, value: T | None = None) -> None:
+        self._value = value
+
+    @property
+    def value(self) -> T | None:
+        """The latest value; None until the first is published."""
+        return self._value
+
+    def publish(self, value: T) -> None:
+        self._value = value
+
+
+__all__ = ('Published', )
--- a/src/nutmegworks/net/client.py
+++ b/src/nutmegworks/net/client.py
@@ -145,8 +145,6 @@
                     )
             elif isinstance(event, h11.EndOfMessage):
                 return message.Response(status, headers, bytes(body))
-            elif isinstance(event, h11.ConnectionClosed):
-                raise EOFError('closed before the response')
 
     async def _next_event(self) -> h11.Event:
         while True:
@@ -154,6 +152,8 @@
             if event is not h11.NEED_DATA:
                 return event
             data = await self._sock.recv(message.RECEIVE_BYTES)
+            if not data and self._http.their_state is h11.SEND_RESPONSE:
+                raise EOFError('closed before the response')
             self._http.receive_data(data)
 
     async def _recycle(self) -> None:
--- /dev/null
+++ b/src/nutmegworks/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Structured logs, metrics and spans."""
--- /dev/null
+++ b/src/nutmegworks/telemetry/logs.py
@@ -0,0 +1,74 @@
+"""Structured log lines with bounded rate."""
+from __future__ import annotations
+
+import collections
+import sys
+import time
+import typing
+
+import logbook
+import msgspec
+
+# A failure that repeats for each request must not fill the log.
+LINES_PER_SECOND_PER_EVENT: typing.Final = 5
+
+_BURST: typing.Final = 10
+
+
+class JsonHandler(logbook.StreamHandler):
+    """Writes one JSON object a line and drops repeated events over a rate.
+
+    The number of dropped lines is given by the next line of that event.
+    """
+
+    def __init__(
+        self,
+        stream: typing.TextIO | None = None,
+        *,
+        level: str = 'info',
+        clock: typing.Callable[[], float] = time.monotonic,
+    ) -> None:
+        super().__init__(stream or sys.stderr, level=level.upper())
+        self._clock = clock
+        self._allowance_by_event: dict[str, tuple[float, float]] = {}
+        self._dropped_by_event: collections.Counter[str] = (
+            collections.Counter()
+        )
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        event = f'{record.channel}:{record.msg}'
+        if not self._allowed(event):
+            self._dropped_by_event[event] += 1
+            return
+        super().emit(record)
+
+    def format(self, record: logbook.LogRecord) -> str:
+        fields: dict[str, typing.Any] = {
+            'time': record.time.isoformat(),
+            'level': record.level_name.lower(),
+            'logger': record.channel,
+            'message': record.msg,
+            **record.kwargs,
+        }
+        dropped = self._dropped_by_event.pop(
+            f'{record.channel}:{record.msg}', 0
+        )
+        if dropped:
+            fields['dropped_lines'] = dropped
+        if record.exc_info:
+            fields['exception'] = record.formatted_exception
+        return msgspec.json.encode(fields, enc_hook=str).decode()
+
+    def _allowed(self, event: str) -> bool:
+        now = self._clock()
+        allowance, since = self._allowance_by_event.get(event, (_BURST, now))
+        rate = LINES_PER_SECOND_PER_EVENT
+        allowance = min(_BURST, allowance + (now - since) * rate)
+        if allowance < 1.0:
+            self._allowance_by_event[event] = (allowance, now)
+            return False
+        self._allowance_by_event[event] = (allowance - 1.0, now)
+        return True
+
+
+__all__ = ('JsonHandler', 'LINES_PER_SECOND_PER_EVENT')
--- /dev/null
+++ b/src/nutmegworks/telemetry/metrics.py
@@ -0,0 +1,64 @@
+"""The daemon's metrics and their text form."""
+from __future__ import annotations
+
+import typing
+
+import aioprometheus
+from aioprometheus.formats import text
+
+from nutmegworks.net import message
+
+# Bounds of the latency histogram, in seconds.
+LATENCY_BUCKETS: typing.Final = (
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0,
+    10.0, 30.0, 60.0
+)
+
+
+class Metrics:
+    """All metrics of one daemon, in a registry of their own."""
+
+    def __init__(self) -> None:
+        self.registry = aioprometheus.Registry()
+        self.requests = self._counter(
+            'nutmeg_requests_total',
+            'Requests by class and outcome.',
+        )
+        self.attempts = self._counter(
+            'nutmeg_attempts_total',
+            'Attempts at upstreams by class and result.',
+        )
+        self.seconds = aioprometheus.Histogram(
+            'nutmeg_request_seconds',
+            'Seconds from receipt to whole response, by class.',
+            buckets=list(LATENCY_BUCKETS),
+            registry=self.registry,
+        )
+        self.in_flight = self._gauge(
+            'nutmeg_requests_in_flight', 'Requests now in the daemon.'
+        )
+        self.upstreams = self._gauge('nutmeg_upstreams', 'Upstreams by state.')
+        self.config_sequence = self._gauge(
+            'nutmeg_config_sequence', 'Sequence of the configuration in force.'
+        )
+        self.store_calls = self._gauge(
+            'nutmeg_store_calls', 'Calls to the store since start.'
+        )
+        self.shards_owned = self._gauge(
+            'nutmeg_shards_owned', 'Scheduling shards this daemon owns.'
+        )
+
+    def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
+        return aioprometheus.Counter(name, doc, registry=self.registry)
+
+    def _gauge(self, name: str, doc: str) -> aioprometheus.Gauge:
+        return aioprometheus.Gauge(name, doc, registry=self.registry)
+
+    def render(self) -> message.Response:
+        """Return the text form for a scraper."""
+        body = text.TextFormatter().marshall(self.registry)
+        headers = {'content-type': 'text/plain; version=0.0.4'}
+        return message.Response(200, headers, body)
+
+
+__all__ = ('LATENCY_BUCKETS', 'Metrics')
--- /dev/null
+++ b/tests/net/test_client.py
@@ -0,0 +1,142 @@
+from __future__ import annotations
+
+import curio
+import pytest
+
+from nutmegworks.net import client
+from nutmegworks.net import message
+from nutmegworks.net import pool
+from nutmegworks.net import server
+from tests import helpers
+
+ID = 'nutmeg-request-id'
+
+
+def _request(request_id: str) -> message.Request:
+    return message.Request('POST', '/v1/run', {ID: request_id}, b'body')
+
+
+def _raw(request_id: str, body: bytes, length: int | None = None) -> bytes:
+    size = len(body) if length is None else length
+    head = f'HTTP/1.1 200 OK\r\n{ID}: {request_id}\r\n'
+    return f'{head}content-length: {size}\r\n\r\n'.encode() + body
+
+
+HOSTILE = {
+    'truncated': (_raw('1', b'ab', 9), 0.0, client.Fault.PROTOCOL),
+    'no response': (b'', 0.0, client.Fault.CLOSED),
+    'crossed': (_raw('0', b'ab'), 0.0, client.Fault.MISMATCH),
+    'late': (b'', 9.0, client.Fault.TIMEOUT),
+    'not HTTP': (b'SSH-2.0\r\n\r\n', 0.0, client.Fault.PROTOCOL),
+}
+
+
+@pytest.mark.parametrize('name', HOSTILE)
+def test_hostile_response_is_an_error_and_ends_the_connection(
+    name: str
+) -> None:
+    """A response that may belong to another request must not be used."""
+    raw, linger, fault = HOSTILE[name]
+    seen: list[str] = []
+
+    async def handler(request: message.Request) -> message.Response:
+        seen.append(request.headers[ID])
+        if len(seen) == 1:
+            raise server.AbortConnection(raw, linger)
+        return message.Response(200, {ID: request.headers[ID]}, b'whole')
+
+    async def main() -> None:
+        async with helpers.serving(handler) as address:
+            connections = pool.Pool()
+            first = await connections.exchange(
+                address, _request('1'), timeout=0.3, echo=ID
+            )
+            assert first.err_value.fault is fault
+            assert first.err_value.bytes_written
+            second = await connections.exchange(
+                address, _request('2'), timeout=1.0, echo=ID
+            )
+            assert second.ok_value.body == b'whole'
+            await connections.close()
+
+    helpers.run(main)
+
+
+def test_duplicated_response_is_not_read_by_the_next_request() -> None:
+    """The second copy of a response must not answer another request."""
+
+    async def handler(request: message.Request) -> message.Response:
+        if request.headers[ID] == '1':
+            raise server.AbortConnection(2 * _raw('1', b'one'), 1.0)
+        return message.Response(200, {ID: '2'}, b'two')
+
+    async def main() -> None:
+        async with helpers.serving(handler) as address:
+            connections = pool.Pool()
+            for request_id, body in (('1', b'one'), ('2', b'two')):
+                answer = await connections.exchange(
+                    address, _request(request_id), timeout=2.0
+                )
+                assert answer.ok_value.body == body
+
+    helpers.run(main)
+
+
+def test_refused_connection_wrote_no_byte() -> None:
+    """Only a failure before the first byte allows DID_NOT_RUN."""
+
+    async def main() -> None:
+        answer = await pool.Pool().exchange(
+            ('127.0.0.1', 1), _request('1'), timeout=1.0
+        )
+        assert answer.err_value.fault is client.Fault.CONNECT
+        assert not answer.err_value.bytes_written
+
+    helpers.run(main)
+
+
+def test_cancelled_exchange_closes_the_connection() -> None:
+    """The answer to a cancelled request must not reach the next one."""
+
+    async def slow(request: message.Request) -> message.Response:
+        await curio.sleep(0.2)
+        return message.Response(200, {}, request.headers[ID].encode())
+
+    async def main() -> None:
+        async with helpers.serving(slow) as address:
+            connections = pool.Pool()
+            task = await curio.spawn(
+                lambda: connections.
+                exchange(address, _request('1'), timeout=2.0)
+            )
+            await curio.sleep(0.05)
+            await task.cancel()
+            answer = await connections.exchange(
+                address, _request('2'), timeout=2.0
+            )
+            assert answer.ok_value.body == b'2'
+
+    helpers.run(main)
+
+
+def test_idle_connections_are_retired() -> None:
+    """An idle connection may have gone silent, so it is not reused late."""
+    now = [0.0]
+    opened: list[str] = []
+
+    async def handler(request: message.Request) -> message.Response:
+        opened.append(request.headers[ID])
+        return message.Response(200, {}, b'')
+
+    async def main() -> None:
+        async with helpers.serving(handler) as address:
+            connections = pool.Pool(idle_seconds=5.0, clock=lambda: now[0])
+            for _ in range(2):
+                await connections.exchange(address, _request('1'), timeout=1.0)
+            now[0] = 5.1
+            idle = connections._idle_by_address[address][0][1]
+            await connections.retire()
+            assert not idle.reusable
+            assert not connections._idle_by_address
+
+    helpers.run(main)
