--- /dev/null
+++ b/src/nutmegworks/claims/service.py
@@ -0,0 +1,337 @@
+"""Claims a request's key, records its outcome and answers its retries."""
+from __future__ import annotations
+
+import dataclasses
+import secrets
+import time
+import typing
+
+import curio
+import result
+
+from nutmegworks.claims import answers
+from nutmegworks.claims import batcher
+from nutmegworks.claims import forwarder as forwarding
+from nutmegworks.claims import key as claim_key
+from nutmegworks.claims import preferred
+from nutmegworks.claims import record
+from nutmegworks.claims import replies
+from nutmegworks.model import ids
+from nutmegworks.model import verdict
+from nutmegworks.platform import store
+
+CLAIM_TIMEOUT_SECONDS: typing.Final = 2.5
+# A preferred daemon that is slow costs this much before the daemon writes
+# the claim itself.
+FORWARD_TIMEOUT_SECONDS: typing.Final = 0.5
+ANSWER_TIMEOUT_SECONDS: typing.Final = 2.0
+# A retry polls for an outcome at these intervals in seconds; the last one is
+# repeated.
+POLL_SECONDS: typing.Final = (0.1, 0.2, 0.4, 0.8, 1.0)
+
+_RETRY_LOCALLY: typing.Final = (
+    record.Status.STORE_UNAVAILABLE,
+    record.Status.OVERLOADED,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Granted:
+    """The attempt holds the key and is the only one that may be sent."""
+
+    attempt_id: ids.AttemptId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finished:
+    """An earlier attempt ran and its response was kept."""
+
+    answer: answers.Answer
+
+
+Outcome = result.Result[Granted | Finished, verdict.Refusal]
+
+
+class ClaimService:
+    """At-most-once claims of one daemon.
+
+    Safety rests on compare-and-swap and attempt ids alone. Members and the
+    forwarder only save writes, and the clock only refuses odd keys early.
+    """
+
+    def __init__(
+        self,
+        backing: store.Store,
+        *,
+        member_id: ids.MemberId,
+        incarnation: ids.Incarnation,
+        members: typing.Callable[[], typing.Iterable[ids.MemberId]],
+        forwarder: forwarding.ClaimForwarder | None = None,
+        wall_clock: typing.Callable[[], float] = time.time,
+        clock: typing.Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._member_id = member_id
+        self._members = members
+        self._forwarder = forwarder
+        self._wall_clock = wall_clock
+        self._clock = clock
+        self._answers = answers.AnswerStore(backing, incarnation, clock=clock)
+        self._batcher_by_shard = {
+            shard: batcher.Batcher(backing, shard, clock=clock)
+            for shard in range(claim_key.SHARDS)
+        }
+
+    async def run(self) -> None:
+        """Write claims and responses until cancelled."""
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(self._answers.run)
+            for item in self._batcher_by_shard.values():
+                await group.spawn(item.run)
+
+    async def claim(
+        self,
+        key: str,
+        team_id: ids.TeamId,
+        body_digest: bytes,
+        *,
+        first_attempt: bool,
+        timeout: float = CLAIM_TIMEOUT_SECONDS,
+    ) -> Outcome:
+        """Claim a key for a new attempt.
+
+        The refusal IN_PROGRESS means that another attempt holds the key.
+
+        :param body_digest: 16 bytes, see ``record.BODY_DIGEST_BYTES``.
+        :param first_attempt: whether the caller has never sent this key.
+        :param timeout: seconds.
+        """
+        parsed = self._parse(key, team_id, first_attempt)
+        if isinstance(parsed, result.Err):
+            return parsed
+        return await self._claim(
+            parsed.ok_value, body_digest, first_attempt, timeout
+        )
+
+    async def outcome(
+        self,
+        key: str,
+        team_id: ids.TeamId,
+        body_digest: bytes,
+        *,
+        timeout: float,
+    ) -> Outcome:
+        """Wait for the outcome of a key that another attempt holds.
+
+        The key is claimed for a new attempt if the other one did not run.
+
+        :param timeout: seconds until the caller's deadline.
+        """
+        parsed = self._parse(key, team_id, False)
+        if isinstance(parsed, result.Err):
+            return parsed
+        deadline = self._clock() + timeout
+        pauses = iter(POLL_SECONDS)
+        while True:
+            left = deadline - self._clock()
+            if left <= POLL_SECONDS[0]:
+                return result.Err(replies.IN_PROGRESS)
+            pause = min(next(pauses, POLL_SECONDS[-1]), left / 2)
+            await curio.sleep(pause)
+            reply = await self._look(parsed.ok_value, left - pause)
+            if replies.is_other_body(reply, body_digest):
+                return result.Err(replies.KEY_REUSED)
+            if replies.is_free(reply):
+                return await self._claim(
+                    parsed.ok_value, body_digest, False, left - pause
+                )
+            if replies.is_settled(reply):
+                return await self._conclude(reply, '', False)
+
+    async def finish(
+        self,
+        key: str,
+        team_id: ids.TeamId,
+        attempt_id: ids.AttemptId,
+        state: record.State,
+        *,
+        answer: answers.Answer | None = None,
+        timeout: float = CLAIM_TIMEOUT_SECONDS,
+    ) -> bool:
+        """Record the outcome of a granted attempt, which is then over.
+
+        The caller must never send the attempt after this call. An outcome
+        that can't be stored now is stored when the store permits.
+
+        :param state: DID_NOT_RUN only if no byte was sent, or if every
+            upstream that was tried refused.
+        :param timeout: seconds.
+        :return: whether the outcome is stored.
+        """
+        parsed = claim_key.parse(key, team_id).unwrap()
+        reference = None
+        if state is record.State.RAN and answer is not None:
+            reference = await self._answers.keep(
+                answer, timeout=min(timeout, ANSWER_TIMEOUT_SECONDS)
+            )
+        operation = record.FinishOperation(
+            parsed.epoch,
+            parsed.shard,
+            parsed.key_id,
+            attempt_id,
+            state,
+            reference,
+        )
+        reply = await self._submit(operation, timeout)
+        if reply.status in _RETRY_LOCALLY:
+            await self._batcher_by_shard[parsed.shard].post(operation)
+        return reply.status is record.Status.DONE
+
+    async def serve(
+        self,
+        operation: record.Operation,
+        *,
+        timeout: float = FORWARD_TIMEOUT_SECONDS,
+    ) -> record.Reply:
+        """Handle an operation that another daemon forwarded."""
+        shard_batcher = self._batcher_by_shard.get(operation.shard)
+        if shard_batcher is None or not record.is_valid(operation):
+            return record.Reply(record.Status.NOT_HOLDER)
+        return await shard_batcher.submit(operation, timeout=timeout)
+
+    def _parse(
+        self,
+        key: str,
+        team_id: ids.TeamId,
+        first_attempt: bool,
+    ) -> result.Result[claim_key.Key, verdict.Refusal]:
+        parsed = claim_key.parse(key, team_id)
+        if isinstance(parsed, result.Err):
+            # No daemon accepts such a key, so nothing ran under it.
+            return result.Err(
+                verdict.did_not_run(
+                    verdict.Reason.BAD_REQUEST, parsed.err_value
+                )
+            )
+        if claim_key.is_ahead(parsed.ok_value.epoch, self._wall_clock()):
+            return result.Err(replies.ahead(first_attempt))
+        return parsed
+
+    async def _claim(
+        self,
+        key: claim_key.Key,
+        body_digest: bytes,
+        first_attempt: bool,
+        timeout: float,
+    ) -> Outcome:
+        # An attempt id is never used for a second call: the release of the
+        # first call could end the claim of the second while it runs.
+        operation = record.ClaimOperation(
+            key.epoch,
+            key.shard,
+            key.key_id,
+            secrets.token_hex(16),
+            body_digest,
+        )
+        if not record.is_valid(operation):
+            raise ValueError('the body digest has a wrong size')
+        try:
+            reply = await self._submit(operation, timeout)
+        except curio.CancelledError:
+            await self._release(operation)
+            raise
+        if reply.write_sent and reply.status is not record.Status.GRANTED:
+            await self._release(operation)
+        return await self._conclude(reply, operation.attempt_id, first_attempt)
+
+    async def _submit(
+        self,
+        operation: record.Operation,
+        timeout: float,
+    ) -> record.Reply:
+        started = self._clock()
+        reply = await self._forward(operation, timeout)
+        if reply is not None and reply.status not in _RETRY_LOCALLY:
+            return reply
+        left = max(0.0, timeout - (self._clock() - started))
+        local = self._batcher_by_shard[operation.shard]
+        second = await local.submit(operation, timeout=left)
+        if reply is None or not reply.write_sent:
+            return second
+        return replies.with_write_sent(second)
+
+    async def _forward(
+        self,
+        operation: record.Operation,
+        timeout: float,
+    ) -> record.Reply | None:
+        """Return the preferred daemon's reply; None if it has none."""
+        chosen = preferred.preferred(operation.shard, self._members())
+        if self._forwarder is None or chosen in (None, self._member_id):
+            return None
+        forwarded = await self._forwarder.forward(
+            chosen,
+            operation,
+            timeout=min(FORWARD_TIMEOUT_SECONDS, timeout),
+        )
+        if isinstance(forwarded, result.Ok):
+            return forwarded.ok_value
+        return record.Reply(
+            record.Status.STORE_UNAVAILABLE,
+            write_sent=forwarded.err_value.sent,
+        )
+
+    async def _look(
+        self,
+        key: claim_key.Key,
+        timeout: float,
+    ) -> record.Reply:
+        operation = record.LookOperation(key.epoch, key.shard, key.key_id)
+        local = self._batcher_by_shard[key.shard]
+        return await local.submit(operation, timeout=timeout)
+
+    async def _release(self, operation: record.ClaimOperation) -> None:
+        """Give up a claim that may be stored and will never be sent."""
+        release = record.FinishOperation(
+            operation.epoch,
+            operation.shard,
+            operation.key_id,
+            operation.attempt_id,
+            record.State.DID_NOT_RUN,
+        )
+        await self._batcher_by_shard[operation.shard].post(release)
+
+    async def _conclude(
+        self,
+        reply: record.Reply,
+        attempt_id: str,
+        first_attempt: bool,
+    ) -> Outcome:
+        if reply.status is record.Status.GRANTED:
+            return result.Ok(Granted(ids.AttemptId(attempt_id)))
+        held = reply.claim
+        ran = held is not None and held.state is record.State.RAN
+        if reply.status is record.Status.FINISHED and ran:
+            return await self._read_answer(held)
+        return result.Err(replies.refusal(reply, first_attempt))
+
+    async def _read_answer(self, held: record.Claim) -> Outcome:
+        if held.answer is None:
+            return result.Err(replies.ANSWER_LOST)
+        found = await self._answers.read(held.answer)
+        if isinstance(found, result.Err):
+            return result.Err(replies.ANSWER_UNREACHABLE)
+        if found.ok_value is None:
+            return result.Err(replies.ANSWER_LOST)
+        return result.Ok(Finished(found.ok_value))
+
+
+__all__ = (
+    'ANSWER_TIMEOUT_SECONDS',
+    'CLAIM_TIMEOUT_SECONDS',
+    'ClaimService',
+    'FORWARD_TIMEOUT_SECONDS',
+    'Finished',
+    'Granted',
+    'Outcome',
+    'POLL_SECONDS',
+)
--- /dev/null
+++ b/src/nutmegworks/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Queues, load shedding, retry budgets and deadlines. No sockets."""
--- /dev/null
+++ b/src/nutmegworks/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of an upstream. No sockets, no clocks."""
