--- /dev/null
+++ b/src/nutmegworks/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The composition root and the daemon ``nutmegd``."""
--- /dev/null
+++ b/src/nutmegworks/entry/claim.py
@@ -0,0 +1,184 @@
+"""Lets each key of a non-idempotent request run at most once."""
+from __future__ import annotations
+
+import time
+import typing
+
+import curio
+import result
+import xxhash
+
+from nutmegworks.claims import answers
+from nutmegworks.claims import record
+from nutmegworks.claims import service as claim_service
+from nutmegworks.entry import context as entry_context
+from nutmegworks.entry import filter as entry_filter
+from nutmegworks.model import ids
+from nutmegworks.model import verdict
+from nutmegworks.net import message
+
+KEY_HEADER: typing.Final = 'idempotency-key'
+ATTEMPT_HEADER: typing.Final = 'nutmeg-attempt'
+REPLAYED_HEADER: typing.Final = 'nutmeg-replayed'
+
+DRAIN_POLL_SECONDS: typing.Final = 0.02
+
+_STATE_BY_VERDICT: typing.Final = {
+    verdict.Verdict.DID_NOT_RUN: record.State.DID_NOT_RUN,
+    verdict.Verdict.MAY_HAVE_RUN: record.State.MAY_HAVE_RUN,
+    verdict.Verdict.RAN: record.State.RAN,
+}
+
+
+class ClaimFilter(entry_filter.Filter):
+    """Claims the key before the request is sent.
+
+    Idempotent classes pass without a claim.
+    """
+
+    def __init__(
+        self,
+        claims: claim_service.ClaimService,
+        *,
+        clock: typing.Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._claims = claims
+        self._clock = clock
+        self._pending = 0
+
+    async def handle(
+        self,
+        context: entry_context.RequestContext,
+        proceed: entry_filter.Proceed,
+    ) -> entry_filter.Outcome:
+        if context.entitled_class.idempotent:
+            return await proceed(context)
+        headers = context.request.headers
+        key = headers.get(KEY_HEADER, '')
+        if not key:
+            return entry_filter.refuse(
+                verdict.did_not_run(
+                    verdict.Reason.KEY_REQUIRED,
+                    f'class {context.entitled_class.class_id} needs the '
+                    f'header {KEY_HEADER}',
+                )
+            )
+        context.key = ids.IdempotencyKey(key)
+        context.first_attempt = headers.get(ATTEMPT_HEADER) == '1'
+        digest = body_digest(context)
+        claimed = await self._claim(context, key, digest)
+        if isinstance(claimed, result.Err):
+            return claimed
+        if isinstance(claimed.ok_value, claim_service.Finished):
+            return result.Ok(_replayed(context, claimed.ok_value.answer))
+        return await self._run(
+            context, proceed, key, claimed.ok_value.attempt_id
+        )
+
+    async def _claim(
+        self,
+        context: entry_context.RequestContext,
+        key: str,
+        digest: bytes,
+    ) -> claim_service.Outcome:
+        left = context.deadline - self._clock()
+        claimed = await self._claims.claim(
+            key,
+            context.team_id,
+            digest,
+            first_attempt=context.first_attempt,
+            timeout=min(left, claim_service.CLAIM_TIMEOUT_SECONDS),
+        )
+        if isinstance(claimed, result.Ok):
+            return claimed
+        if claimed.err_value.reason is not verdict.Reason.IN_PROGRESS:
+            return claimed
+        return await self._claims.outcome(
+            key,
+            context.team_id,
+            digest,
+            timeout=context.deadline - self._clock(),
+        )
+
+    async def _run(
+        self,
+        context: entry_context.RequestContext,
+        proceed: entry_filter.Proceed,
+        key: str,
+        attempt_id: ids.AttemptId,
+    ) -> entry_filter.Outcome:
+        state = record.State.MAY_HAVE_RUN
+        answer: answers.Answer | None = None
+        try:
+            outcome = await proceed(context)
+            if isinstance(outcome, result.Err):
+                state = _STATE_BY_VERDICT[outcome.err_value.verdict]
+            else:
+                state = record.State.RAN
+                response = outcome.ok_value
+                answer = answers.Answer(
+                    response.headers.get('content-type', ''), response.body
+                )
+        finally:
+            self._pending += 1
+            await curio.spawn(
+                self._finish,
+                key,
+                context.team_id,
+                attempt_id,
+                state,
+                answer,
+                daemon=True,
+            )
+        return outcome
+
+    async def _finish(
+        self,
+        key: str,
+        team_id: ids.TeamId,
+        attempt_id: ids.AttemptId,
+        state: record.State,
+        answer: answers.Answer | None,
+    ) -> None:
+        """Store the outcome; the caller does not wait for it."""
+        try:
+            await self._claims.finish(
+                key, team_id, attempt_id, state, answer=answer
+            )
+        finally:
+            self._pending -= 1
+
+    async def drain(self, limit: float) -> None:
+        """Wait until the outcomes of answered requests are stored.
+
+        :param limit: seconds.
+        """
+        deadline = self._clock() + limit
+        while self._pending and self._clock() < deadline:
+            await curio.sleep(DRAIN_POLL_SECONDS)
+
+
+def body_digest(context: entry_context.RequestContext) -> bytes:
+    """Return the digest that tells one request of a key from another."""
+    digest = xxhash.xxh3_128(context.service_id.encode())
+    digest.update(b'\0')
+    digest.update(context.entitled_class.class_id.encode())
+    digest.update(b'\0')
+    digest.update(context.request.body)
+    return digest.digest()
+
+
+def _replayed(
+    context: entry_context.RequestContext,
+    answer: answers.Answer,
+) -> message.Response:
+    headers = {
+        'content-type': answer.content_type,
+        'nutmeg-request-id': context.request_id,
+        'nutmeg-verdict': verdict.Verdict.RAN.value,
+        REPLAYED_HEADER: 'true',
+    }
+    return message.Response(200, headers, answer.body)
+
+
+__all__ = ('ATTEMPT_HEADER', 'ClaimFilter', 'KEY_HEADER', 'body_digest')
