configuration: document, changes, validation, repository and adoption

Cause: operators need concurrent changes that are never lost or reverted, and daemons need to know which configuration to adopt. Ruled out: one key per change; simpler for readers, but the design fixes CAS on config/head. JSON values: names repeat, the head would exceed the byte budget of a reader.

--- /dev/null
+++ b/src/nutmegworks/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' document: changes, validation, storage and adoption."""
--- /dev/null
+++ b/src/nutmegworks/configuration/document.py
@@ -0,0 +1,206 @@
+"""The operators' document as it is stored and transferred."""
+from __future__ import annotations
+
+import typing
+import zlib
+
+import msgspec
+
+from nutmegworks.model import ids
+from nutmegworks.model import shape
+from nutmegworks.model import work
+
+# A damaged or hostile value must not fill a daemon's 32 MB.
+MAX_DECODED_BYTES: typing.Final = 8 * 1024 * 1024
+
+
+class DocumentError(ValueError):
+    """Stored bytes are not a document."""
+
+
+class ClassEntry(
+        msgspec.Struct,
+        frozen=True,
+        kw_only=True,
+        forbid_unknown_fields=True,
+):
+    """A class of work.
+
+    :param target: seconds from acceptance to complete response.
+    :param guaranteed_share: fraction of the service's capacity, 0 to 1.
+    :param teams: names of the entitled teams.
+    """
+
+    service: str
+    target: float
+    guaranteed_share: float = 0.0
+    idempotent: bool = False
+    interruptible: bool = False
+    teams: tuple[str, ...] = ()
+
+
+class TeamEntry(
+        msgspec.Struct,
+        frozen=True,
+        kw_only=True,
+        forbid_unknown_fields=True,
+):
+    """A team.
+
+    :param token_digests: SHA-256 of each token, in lower-case hexadecimal.
+    :param guarantees: texts of shapes by failure domain.
+    """
+
+    token_digests: tuple[str, ...] = ()
+    guarantees: dict[str, tuple[str,
+                                ...]] = msgspec.field(default_factory=dict)
+
+
+class Document(
+        msgspec.Struct,
+        frozen=True,
+        kw_only=True,
+        forbid_unknown_fields=True,
+):
+    """All classes and teams by name; never modified in place."""
+
+    classes: dict[str, ClassEntry] = msgspec.field(default_factory=dict)
+    teams: dict[str, TeamEntry] = msgspec.field(default_factory=dict)
+
+
+EMPTY: typing.Final = Document()
+
+
+def encode(value: msgspec.Struct) -> bytes:
+    """Return MessagePack, compressed.
+
+    Names and shapes repeat, so compression halves the document and divides
+    the stored head, which every reader fetches at each change.
+    """
+    return zlib.compress(msgspec.msgpack.encode(value), 6)
+
+
+_Decoded = typing.TypeVar('_Decoded')
+
+
+def decode(data: bytes, kind: type[_Decoded]) -> _Decoded:
+    """Reverse ``encode``.
+
+    :raises DocumentError: if the bytes are damaged or of another kind.
+    """
+    try:
+        inflater = zlib.decompressobj()
+        raw = inflater.decompress(data, MAX_DECODED_BYTES)
+        if inflater.unconsumed_tail:
+            raise DocumentError(f'larger than {MAX_DECODED_BYTES} bytes')
+        return msgspec.msgpack.decode(raw, type=kind)
+    except (zlib.error, msgspec.MsgspecError) as error:
+        raise DocumentError(str(error)) from error
+
+
+def share_names(document: Document) -> Document:
+    """Return an equal document in which each team name is stored once.
+
+    Decoding creates a string for every mention: at 1,100 teams in 40 classes
+    these took 3 of a daemon's 32 MB.
+    """
+    known = {name: name for name in document.teams}
+    classes = {
+        name:
+        msgspec.structs.replace(
+            entry,
+            teams=tuple(known.get(team, team)
+                        for team in entry.teams),
+        )
+        for name, entry in document.classes.items()
+    }
+    return msgspec.structs.replace(document, classes=classes)
+
+
+def to_class(name: str, entry: ClassEntry) -> work.WorkClass:
+    return work.WorkClass(
+        class_id=ids.ClassId(name),
+        service_id=ids.ServiceId(entry.service),
+        target=entry.target,
+        guaranteed_share=entry.guaranteed_share,
+        idempotent=entry.idempotent,
+        interruptible=entry.interruptible,
+        team_ids=frozenset(ids.TeamId(team) for team in entry.teams),
+    )
+
+
+def to_team(name: str, entry: TeamEntry) -> work.Team:
+    """Convert a team.
+
+    :raises shape.ShapeError: if the text of a shape is invalid.
+    """
+    return work.Team(
+        team_id=ids.TeamId(name),
+        token_digests=entry.token_digests,
+        guarantees=tuple(
+            work.Guarantee(
+                ids.DomainId(domain),
+                tuple(shape.Shape.parse(text) for text in texts),
+            ) for domain, texts in entry.guarantees.items()
+        ),
+    )
+
+
+_Entry = typing.TypeVar('_Entry')
+_Value = typing.TypeVar('_Value')
+
+
+def _convert(
+    entry_by_name: dict[str, _Entry],
+    make: typing.Callable[[str, _Entry], _Value],
+    previous: dict[str, _Entry],
+    value_by_name: typing.Mapping[typing.Any, _Value],
+) -> dict[typing.Any, _Value]:
+    return {
+        name:
+        value_by_name[name]
+        if previous.get(name) is entry else make(name, entry)
+        for name, entry in entry_by_name.items()
+    }
+
+
+def to_configuration(
+    document: Document,
+    sequence: ids.ConfigSequence,
+    *,
+    previous: tuple[Document, work.Configuration] | None = None,
+) -> work.Configuration:
+    """Convert a valid document.
+
+    :param previous: an earlier document and its conversion; entries that did
+        not change since are taken from it.
+    """
+    base = EMPTY
+    done = work.Configuration(sequence, {}, {})
+    if previous is not None:
+        base, done = previous
+    return work.Configuration(
+        sequence=sequence,
+        class_by_id=_convert(
+            document.classes, to_class, base.classes, done.class_by_id
+        ),
+        team_by_id=_convert(
+            document.teams, to_team, base.teams, done.team_by_id
+        ),
+    )
+
+
+__all__ = (
+    'ClassEntry',
+    'Document',
+    'DocumentError',
+    'EMPTY',
+    'MAX_DECODED_BYTES',
+    'TeamEntry',
+    'decode',
+    'encode',
+    'share_names',
+    'to_class',
+    'to_configuration',
+    'to_team',
+)
--- /dev/null
+++ b/src/nutmegworks/configuration/reader.py
@@ -0,0 +1,129 @@
+"""Reads the configuration keys; every answer may be stale."""
+from __future__ import annotations
+
+import typing
+
+import result
+
+from nutmegworks.configuration import change as changes
+from nutmegworks.configuration import document as documents
+from nutmegworks.configuration import records
+from nutmegworks.model import ids
+from nutmegworks.platform import store
+
+ARCHIVE_PAGE: typing.Final = 16
+
+_Value = typing.TypeVar('_Value')
+
+
+def unavailable(detail: str) -> result.Err[store.StoreError]:
+    """Return the failure of a read; a repetition may succeed."""
+    return result.Err(store.StoreError(store.StoreFault.UNAVAILABLE, detail))
+
+
+def decode(
+    entry: store.Entry,
+    kind: type[_Value],
+) -> result.Result[_Value, store.StoreError]:
+    """Decode a stored value."""
+    try:
+        return result.Ok(documents.decode(entry.value or b'', kind))
+    except documents.DocumentError as error:
+        return unavailable(f'{entry.key}: {error}')
+
+
+class Reader:
+    """Reads the head, snapshots and archives."""
+
+    def __init__(self, backend: store.Store) -> None:
+        self._store = backend
+
+    async def head(
+        self,
+    ) -> result.Result[
+            tuple[records.Head, ids.StoreRevision],
+            store.StoreError,
+    ]:
+        """Return the head and its revision; an absent one is empty."""
+        read = await self._store.get(records.HEAD_KEY)
+        if isinstance(read, result.Err):
+            return read
+        entry = read.ok_value
+        if entry is None:
+            return result.Ok((records.Head(), store.ABSENT))
+        head = decode(entry, records.Head)
+        return head.map(lambda value: (value, entry.revision))
+
+    async def snapshot(
+        self,
+        sequence: ids.ConfigSequence,
+    ) -> result.Result[records.Snapshot, store.StoreError]:
+        """Return a stored snapshot; at sequence 0 the empty document."""
+        if sequence == 0:
+            return result.Ok(records.Snapshot(sequence, documents.EMPTY))
+        key = records.snapshot_key(sequence)
+        read = await self._store.get(key)
+        if isinstance(read, result.Err):
+            return read
+        if read.ok_value is None:
+            return unavailable(f'{key} is gone; the head has moved on')
+        return decode(read.ok_value, records.Snapshot)
+
+    async def document(
+        self,
+        head: records.Head,
+    ) -> result.Result[documents.Document, store.StoreError]:
+        """Return the document as of a head, from its latest snapshot."""
+        newer = head.after(head.snapshot_sequence)
+        if newer is None:
+            return unavailable('the head does not reach its snapshot')
+        read = await self.snapshot(head.snapshot_sequence)
+        return read.map(lambda value: replay(value.document, newer))
+
+    async def changes_after(
+        self,
+        head: records.Head,
+        sequence: int,
+    ) -> result.Result[tuple[changes.Accepted, ...], store.StoreError]:
+        """Return all changes after a sequence, from archives if needed."""
+        inline = head.after(sequence)
+        if inline is not None:
+            return result.Ok(inline)
+        by_sequence = {item.sequence: item for item in head.changes}
+        wanted = range(sequence + 1, head.sequence + 1)
+        # An archive holds at most all changes of a head.
+        longest = records.KEPT_CHANGES + records.ARCHIVED_CHANGES
+        after = records.archive_key(max(0, wanted.start - longest), 0)
+        while not all(item in by_sequence for item in wanted):
+            read = await self._store.range(
+                records.ARCHIVE_PREFIX, after=after, limit=ARCHIVE_PAGE
+            )
+            if isinstance(read, result.Err):
+                return read
+            if not read.ok_value.entries:
+                return unavailable(f'changes after {sequence} are incomplete')
+            for entry in read.ok_value.entries:
+                after = entry.key
+                archive = decode(entry, records.Archive)
+                if isinstance(archive, result.Err):
+                    return archive
+                for item in archive.ok_value.changes:
+                    by_sequence[item.sequence] = item
+        return result.Ok(tuple(by_sequence[item] for item in wanted))
+
+
+def replay(
+    document: documents.Document,
+    accepted: typing.Iterable[changes.Accepted],
+) -> documents.Document:
+    """Return the document after accepted changes.
+
+    :raises changes.ChangeError: if one does not apply, which means that the
+        document is not the one that it was accepted for.
+    """
+    for item in accepted:
+        document = changes.apply(document, item.change)
+    return document
+
+
+__all__ = ('ARCHIVE_PAGE', 'Reader', 'decode', 'replay', 'unavailable')
--- /dev/null
+++ b/src/nutmegworks/configuration/repository.py
@@ -0,0 +1,371 @@
+"""Accepts changes of the configuration by CAS on its head."""
+from __future__ import annotations
+
+import dataclasses
+import enum
+import random
+import time
+import typing
+
+import curio
+import result
+
+from nutmegworks.configuration import change as changes
+from nutmegworks.configuration import document as documents
+from nutmegworks.configuration import reader as readers
+from nutmegworks.configuration import records
+from nutmegworks.configuration import validation
+from nutmegworks.model import ids
+from nutmegworks.platform import store
+
+ACCEPT_SECONDS: typing.Final = 10.0
+# Operators whose CAS collided wait a random time in this range.
+RETRY_SECONDS: typing.Final = (0.005, 0.05)
+# One change must leave room for others in the head.
+MAX_CHANGE_BYTES: typing.Final = 128 * 1024
+
+
+class RejectionKind(enum.Enum):
+    """Why a change was not seen to be accepted.
+
+    Only UNKNOWN leaves open whether it was: repeat it with the same id.
+    """
+
+    INVALID = 'invalid'
+    CONFLICT = 'conflict'
+    UNAVAILABLE = 'unavailable'
+    UNKNOWN = 'unknown'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rejection:
+    """A change that was not accepted.
+
+    :param faults: one sentence each, all that were found.
+    """
+
+    kind: RejectionKind
+    faults: tuple[str, ...]
+
+    def __str__(self) -> str:
+        return f'{self.kind.value}: ' + '; '.join(self.faults)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class State:
+    """The stored configuration as of one read of the head."""
+
+    head: records.Head
+    revision: ids.StoreRevision
+    document: documents.Document
+
+    @property
+    def sequence(self) -> ids.ConfigSequence:
+        return self.head.sequence
+
+
+@dataclasses.dataclass(slots=True)
+class _Attempt:
+    """One change on its way through several rounds.
+
+    :param unresolved: a write may have taken effect or still may.
+    :param detail: what failed in the last round.
+    """
+
+    change: changes.Change
+    base: int
+    unresolved: bool = False
+    detail: str = ''
+
+    def failed(self, error: store.StoreError) -> None:
+        """Record the failure of a CAS on the head."""
+        self.detail = f'{error.fault.value}: {error.detail}'
+        if error.fault is store.StoreFault.UNKNOWN:
+            self.unresolved = True
+
+    def give_up(self) -> Rejection:
+        kind = RejectionKind.UNAVAILABLE
+        if self.unresolved:
+            kind = RejectionKind.UNKNOWN
+        return Rejection(kind, (self.detail, ))
+
+
+_Outcome = result.Result[changes.Accepted, Rejection]
+
+
+class Repository:
+    """The configuration in the store.
+
+    :param guarantee_check: proves that guaranteed shapes fit.
+    :param domain_ids: the failure domains that exist; None to accept any.
+    :param clock: seconds, monotonic.
+    :param pause: waits for seconds between two rounds.
+    """
+
+    def __init__(
+        self,
+        backend: store.Store,
+        *,
+        rng: random.Random,
+        guarantee_check: validation.
+        GuaranteeCheck = (validation.no_guarantee_check),
+        domain_ids: typing.Container[str] | None = None,
+        clock: typing.Callable[[], float] = time.monotonic,
+        pause: typing.Callable[[float], typing.Awaitable[None]] = curio.sleep,
+    ) -> None:
+        self._store = backend
+        self._reader = readers.Reader(backend)
+        self._rng = rng
+        self._guarantee_check = guarantee_check
+        self._domain_ids = domain_ids
+        self._clock = clock
+        self._pause = pause
+        self._latest: State | None = None
+        self._written: list[records.SnapshotRef] = []
+
+    async def load(self) -> result.Result[State, store.StoreError]:
+        """Return the stored configuration, never older than before."""
+        read = await self._reader.head()
+        if isinstance(read, result.Err):
+            return read
+        head, revision = read.ok_value
+        latest = self._latest
+        if latest is not None and revision <= latest.revision:
+            # A lower revision than one already seen is a stale read.
+            return result.Ok(latest)
+        document = await self._document(head)
+        if isinstance(document, result.Err):
+            return document
+        self._latest = State(head, revision, document.ok_value)
+        return result.Ok(self._latest)
+
+    async def _document(
+        self,
+        head: records.Head,
+    ) -> result.Result[documents.Document, store.StoreError]:
+        latest = self._latest
+        newer = None if latest is None else head.after(latest.sequence)
+        if latest is None or newer is None:
+            return await self._reader.document(head)
+        return result.Ok(readers.replay(latest.document, newer))
+
+    async def history(
+        self,
+        *,
+        after: int,
+    ) -> result.Result[tuple[changes.Accepted, ...], store.StoreError]:
+        """Return all changes accepted after a sequence, oldest first."""
+        loaded = await self.load()
+        if isinstance(loaded, result.Err):
+            return loaded
+        return await self._reader.changes_after(loaded.ok_value.head, after)
+
+    async def accept(
+        self,
+        change: changes.Change,
+        *,
+        base: int,
+        limit: float = ACCEPT_SECONDS,
+    ) -> _Outcome:
+        """Append a change to the configuration.
+
+        A repetition with the same id returns the first acceptance, if that
+        came after the base or is among the last 64 changes.
+
+        :param base: the sequence that its author saw.
+        :param limit: seconds.
+        """
+        attempt = _Attempt(change, base)
+        deadline = self._clock() + limit
+        while True:
+            outcome = await self._try(attempt)
+            if outcome is not None:
+                return outcome
+            if self._clock() >= deadline:
+                return result.Err(attempt.give_up())
+            await self._pause(self._rng.uniform(*RETRY_SECONDS))
+
+    async def _try(self, attempt: _Attempt) -> _Outcome | None:
+        """Run one round; None if another may succeed."""
+        loaded = await self.load()
+        if isinstance(loaded, result.Err):
+            attempt.detail = loaded.err_value.detail
+            return None
+        state = loaded.ok_value
+        if state.sequence < attempt.base:
+            attempt.detail = (
+                f'the store answers as of change {state.sequence}, '
+                f'before {attempt.base}'
+            )
+            return None
+        since = await self._reader.changes_after(state.head, attempt.base)
+        if isinstance(since, result.Err):
+            attempt.detail = since.err_value.detail
+            return None
+        for accepted in (*state.head.changes, *since.ok_value):
+            if accepted.change.change_id == attempt.change.change_id:
+                return result.Ok(accepted)
+        document = self._prepare(state, attempt.change, since.ok_value)
+        if isinstance(document, result.Err):
+            return document
+        return await self._write(attempt, state, document.ok_value)
+
+    def _prepare(
+        self,
+        state: State,
+        change: changes.Change,
+        since: tuple[changes.Accepted, ...],
+    ) -> result.Result[documents.Document, Rejection]:
+        faults = conflict_faults(change, since)
+        if faults:
+            return result.Err(Rejection(RejectionKind.CONFLICT, faults))
+        if len(documents.encode(change)) > MAX_CHANGE_BYTES:
+            return _invalid(f'the change exceeds {MAX_CHANGE_BYTES} bytes')
+        try:
+            document = changes.apply(state.document, change)
+        except changes.ChangeError as error:
+            return _invalid(str(error))
+        faults = validation.validate(
+            document,
+            guarantee_check=self._guarantee_check,
+            domain_ids=self._domain_ids,
+        )
+        faults += size_faults(document)
+        return _invalid(*faults) if faults else result.Ok(document)
+
+    async def _write(
+        self,
+        attempt: _Attempt,
+        state: State,
+        document: documents.Document,
+    ) -> _Outcome | None:
+        trimmed = await self._trim(state)
+        if isinstance(trimmed, result.Err):
+            attempt.detail = trimmed.err_value.detail
+            return None
+        rest = trimmed.ok_value
+        sequence = ids.ConfigSequence(state.sequence + 1)
+        accepted = changes.Accepted(sequence, attempt.change)
+        head = records.Head(
+            sequence, (*rest.changes, accepted), rest.snapshots
+        )
+        answer = await self._store.put(
+            records.HEAD_KEY,
+            documents.encode(head),
+            expected=state.revision,
+        )
+        if isinstance(answer, result.Err):
+            attempt.failed(answer.err_value)
+            return None
+        self._latest = State(head, answer.ok_value, document)
+        await self._drop_snapshots(state.head, head)
+        return result.Ok(accepted)
+
+    async def _trim(
+        self,
+        state: State,
+    ) -> result.Result[records.Head, store.StoreError]:
+        """Archive the oldest changes if the head has grown too long."""
+        head = state.head
+        count = records.archived_count(head, len(documents.encode(head)))
+        if not count:
+            return result.Ok(head)
+        dropped = head.changes[:count]
+        archived = await self._ensure(
+            records.archive_key(dropped[0].sequence, dropped[-1].sequence),
+            records.Archive(dropped),
+        )
+        if isinstance(archived, result.Err):
+            return archived
+        stored = await self._ensure(
+            records.snapshot_key(head.sequence),
+            records.Snapshot(head.sequence, state.document),
+        )
+        if isinstance(stored, result.Err):
+            return stored
+        reference = records.SnapshotRef(head.sequence, stored.ok_value)
+        self._written.append(reference)
+        kept = (*head.snapshots, reference)[-records.KEPT_SNAPSHOTS:]
+        return result.Ok(
+            records.Head(head.sequence, head.changes[count:], kept)
+        )
+
+    async def _ensure(
+        self,
+        key: str,
+        value: records.Archive | records.Snapshot,
+    ) -> result.Result[ids.StoreRevision, store.StoreError]:
+        """Create a key whose name determines its value."""
+        put = await self._store.put(
+            key, documents.encode(value), expected=store.ABSENT
+        )
+        if isinstance(put, result.Ok):
+            return put
+        if put.err_value.fault is store.StoreFault.UNAVAILABLE:
+            return put
+        read = await self._store.get(key)
+        if isinstance(read, result.Err):
+            return read
+        if read.ok_value is None:
+            return readers.unavailable(f'{key} could not be written')
+        return result.Ok(read.ok_value.revision)
+
+    async def _drop_snapshots(
+        self,
+        before: records.Head,
+        head: records.Head,
+    ) -> None:
+        """Delete snapshots that the head no longer names; best effort.
+
+        No other writer can come to name one of them: its CAS would be on a
+        head before this one.
+        """
+        unnamed = {*before.snapshots, *self._written} - {*head.snapshots}
+        self._written.clear()
+        for reference in unnamed:
+            await self._store.delete(
+                records.snapshot_key(reference.sequence),
+                expected=reference.revision,
+            )
+
+
+def conflict_faults(
+    change: changes.Change,
+    since: tuple[changes.Accepted, ...],
+) -> tuple[str, ...]:
+    """Return a sentence for each entry that someone else has changed."""
+    return tuple(
+        f'{path} was changed by {other.change.author!r} '
+        f'in change {other.sequence}'
+        for path, other in changes.conflicts(change, since)
+    )
+
+
+def size_faults(document: documents.Document) -> tuple[str, ...]:
+    """Return a fault if a snapshot would exceed the store's limit."""
+    sequence = ids.ConfigSequence(0)
+    size = len(documents.encode(records.Snapshot(sequence, document)))
+    # Leaves room for the growth of the sequence number.
+    if size + 16 <= store.MAX_VALUE_BYTES:
+        return ()
+    return (
+        f'the document takes {size} bytes of the '
+        f'{store.MAX_VALUE_BYTES} that the store accepts',
+    )
+
+
+def _invalid(*faults: str) -> result.Err[Rejection]:
+    return result.Err(Rejection(RejectionKind.INVALID, faults))
+
+
+__all__ = (
+    'ACCEPT_SECONDS',
+    'MAX_CHANGE_BYTES',
+    'RETRY_SECONDS',
+    'Rejection',
+    'RejectionKind',
+    'Repository',
+    'State',
+    'conflict_faults',
+    'size_faults',
+)
--- /dev/null
+++ b/tests/configuration/test_repository.py
@@ -0,0 +1,206 @@
+from __future__ import annotations
+
+import random
+import typing
+
+import curio
+
+from nutmegworks.configuration import adoption
+from nutmegworks.configuration import change
+from nutmegworks.configuration import difference
+from nutmegworks.configuration import document
+from nutmegworks.configuration import reader
+from nutmegworks.configuration import records
+from nutmegworks.configuration import repository
+from nutmegworks.platform import store
+from tests.configuration import memorystore
+
+
+async def no_pause(seconds: float) -> None:
+    pass
+
+
+def make(backend: store.Store, seed: int = 1) -> repository.Repository:
+    return repository.Repository(
+        backend, rng=random.Random(seed), pause=no_pause
+    )
+
+
+def put_team(name: str, change_id: str = '') -> change.Change:
+    operation = change.PutTeam(name, document.TeamEntry())
+    return change.Change(change_id or name, 'eva', 0.0, (operation, ))
+
+
+def set_guarantee(team: str, domain: str, author: str) -> change.Change:
+    operation = change.SetGuarantee(team, domain, ('1x8', ))
+    return change.Change(f'{author}-{domain}', author, 0.0, (operation, ))
+
+
+def test_lost_answer_is_resolved_by_change_id() -> None:
+    """A change whose answer was lost must neither repeat nor be denied."""
+
+    async def main() -> None:
+        backend = memorystore.MemoryStore()
+        backend.lose_answers = 1
+        first = await make(backend).accept(put_team('north'), base=0)
+        assert first.ok_value.sequence == 1
+        retried = await make(backend).accept(put_team('north'), base=1)
+        assert retried.ok_value.sequence == 1
+        backend.drop_writes = 10**6
+        lost = await make(backend).accept(put_team('x'), base=0, limit=0.0)
+        assert lost.err_value.kind is repository.RejectionKind.UNKNOWN
+
+    curio.run(main)
+
+
+def test_races_of_operators() -> None:
+    """Disjoint changes both apply; a conflict says who changed what."""
+
+    async def main() -> None:
+        backend = memorystore.MemoryStore()
+        ada, bo = make(backend), make(backend, 2)
+        await ada.accept(put_team('north'), base=0)
+        rivals: list[typing.Any] = []
+
+        async def rival() -> None:
+            mine = set_guarantee('north', 'west', 'bo')
+            rivals.append(await bo.accept(mine, base=1))
+
+        backend.before_put = [rival]
+        mine = set_guarantee('north', 'east', 'ada')
+        assert (await ada.accept(mine, base=1)).ok_value.sequence == 3
+        assert rivals[0].ok_value.sequence == 2
+        late = set_guarantee('north', 'west', 'cy')
+        refused = (await make(backend).accept(late, base=1)).err_value
+        assert refused.kind is repository.RejectionKind.CONFLICT
+        assert refused.faults == (
+            "team/north/guarantee/west was changed by 'bo' in change 2",
+        )
+        whole = (
+            await make(backend).accept(put_team('north', 'w'), base=1)
+        ).err_value
+        assert len(whole.faults) == 2
+        state = (await make(backend).load()).ok_value
+        assert set(state.document.teams['north'].guarantees
+                   ) == {'east', 'west'}
+
+    curio.run(main)
+
+
+def test_long_history_stays_whole_and_the_head_short() -> None:
+    """Trimming must lose no change, whatever happens to its writes."""
+
+    async def main() -> None:
+        backend = memorystore.MemoryStore()
+        writer = make(backend)
+        rng = random.Random(5)
+        for number in range(230):
+            backend.lose_answers = rng.randrange(3) // 2
+            backend.drop_writes = rng.randrange(3) // 2
+            mine = put_team(f't{number}')
+            accepted = await writer.accept(mine, base=number)
+            assert accepted.ok_value.sequence == number + 1
+        fresh = make(backend)
+        state = (await fresh.load()).ok_value
+        assert len(state.document.teams) == 230
+        assert 64 <= len(state.head.changes) <= 96
+        assert len(backend.keys(records.SNAPSHOT_PREFIX)) <= 4
+        history = (await fresh.history(after=0)).ok_value
+        assert [item.sequence for item in history] == list(range(1, 231))
+        assert reader.replay(document.EMPTY, history) == state.document
+        assert (await fresh.history(after=40)).ok_value == history[40:]
+        stale = put_team('t3', 'late')
+        refused = await fresh.accept(stale, base=2)
+        assert refused.err_value.kind is repository.RejectionKind.CONFLICT
+
+    curio.run(main)
+
+
+def large_document() -> document.Document:
+    rng = random.Random(3)
+    domains = [f'failure-domain-{index}' for index in range(6)]
+    teams = {
+        f'team-{index:04d}-of-balqa':
+        document.TeamEntry(
+            token_digests=tuple(
+                f'{rng.getrandbits(256):064x}'
+                for _ in range(3)
+            ),
+            guarantees={
+                domain: (f'{rng.randrange(1, 9)}x8', '1x4')
+                for domain in domains
+            },
+        )
+        for index in range(1100)
+    }
+    classes = {
+        f'class-{index}':
+        document.ClassEntry(
+            service='s',
+            target=30.0,
+            guaranteed_share=0.01,
+            teams=tuple(teams)
+        )
+        for index in range(40)
+    }
+    return document.Document(classes=classes, teams=teams)
+
+
+def test_two_year_size_fits_the_store() -> None:
+    """A document the store refuses would end all changes."""
+    whole = large_document()
+    snapshot = records.Snapshot(typing.cast(typing.Any, 1), whole)
+    assert len(document.encode(snapshot)) < 512 * 1024
+    assert repository.size_faults(whole) == ()
+    digests = tuple(
+        f'{random.Random(n).getrandbits(256):064x}' for n in range(40000)
+    )
+    teams = {'t': document.TeamEntry(token_digests=digests)}
+    assert repository.size_faults(document.Document(teams=teams))
+
+
+def test_edited_document_becomes_narrow_operations() -> None:
+    """Editing a file must not overwrite a colleague's other entries."""
+    old = large_document()
+    team = 'team-0003-of-balqa'
+    entry = document.TeamEntry(
+        token_digests=old.teams[team].token_digests[1:],
+        guarantees={'failure-domain-0': ('1x1', )},
+    )
+    classes = {'class-1': old.classes['class-1']}
+    new = document.Document(
+        classes=classes,
+        teams={
+            **old.teams, team: entry
+        },
+    )
+    operations = difference.between(old, new)
+    mine = change.Change('1', 'eva', 0.0, operations)
+    assert change.apply(old, mine) == new
+    assert not any(isinstance(item, change.PutTeam) for item in operations)
+
+
+def test_adoption_rejects_what_is_not_newer() -> None:
+    """Late, repeated or gapped offers must never revert anything."""
+    made = [put_team(f't{n}') for n in range(1, 5)]
+    made.append(set_guarantee('t1', 'east', 'eva'))
+    accepted = tuple(
+        change.Accepted(typing.cast(typing.Any, n), item)
+        for n, item in enumerate(made, 1)
+    )
+    step, current = adoption.adopt_changes(None, accepted[:3])
+    assert step is adoption.Step.ADOPT and current is not None
+    for offer in (accepted[:3], accepted[1:2], ()):
+        step, same = adoption.adopt_changes(current, offer)
+        assert step is adoption.Step.IGNORE and same is current
+    step, same = adoption.adopt_changes(current, accepted[4:])
+    assert step is adoption.Step.NEED_OLDER and same is current
+    snapshot = records.Snapshot(current.sequence, document.EMPTY)
+    step, same = adoption.adopt_snapshot(current, snapshot)
+    assert step is adoption.Step.IGNORE and same is current
+    step, last = adoption.adopt_changes(current, accepted[1:])
+    assert step is adoption.Step.ADOPT and last is not None
+    assert last.configuration == document.to_configuration(
+        reader.replay(document.EMPTY, accepted), accepted[-1].sequence
+    )
+    assert last.after(3) == accepted[3:]
