daemon: the whole path as separate processes

Cause: a request must be served from one end to the other before anything else is built. Ruled out: waking a task from a signal handler, which can deadlock on the event's lock; signals arrive over the wake-up file descriptor instead. Conclusion: thin path complete; routing, limits, membership and jobs replace the simple parts next.

--- /dev/null
+++ b/src/nutmegworks/daemon/compose.py
@@ -0,0 +1,235 @@
+"""The composition root: creates the parts of a daemon and wires them."""
+from __future__ import annotations
+
+import random
+import secrets
+import signal
+import typing
+
+import curio
+import logbook
+import result
+
+from nutmegworks.claims import service as claim_service
+from nutmegworks.configuration import document as documents
+from nutmegworks.configuration import repository as repositories
+from nutmegworks.daemon import spans as daemon_spans
+from nutmegworks.daemon import upstreams as daemon_upstreams
+from nutmegworks.entry import authenticate
+from nutmegworks.entry import claim
+from nutmegworks.entry import classify
+from nutmegworks.entry import deadline
+from nutmegworks.entry import dispatch
+from nutmegworks.entry import filter as entry_filter
+from nutmegworks.entry import operators
+from nutmegworks.entry import readiness
+from nutmegworks.entry import requests
+from nutmegworks.entry import router
+from nutmegworks.entry import trace
+from nutmegworks.model import ids
+from nutmegworks.model import published
+from nutmegworks.model import work
+from nutmegworks.net import message
+from nutmegworks.net import pool
+from nutmegworks.net import server
+from nutmegworks.net import signals
+from nutmegworks.platform import hosts
+from nutmegworks.platform import httpstore
+from nutmegworks.platform import upstreams
+from nutmegworks.settings import schema
+from nutmegworks.telemetry import metrics as telemetry_metrics
+from nutmegworks.telemetry import spans
+
+_LOG: typing.Final = logbook.Logger('daemon')
+
+CONFIGURATION_POLL_SECONDS: typing.Final = 1.0
+OUTCOME_DRAIN_SECONDS: typing.Final = 5.0
+RETIRE_SECONDS: typing.Final = 1.0
+
+
+class _FreeRetries(dispatch.RetryPermit):
+
+    def request_started(self, class_id: ids.ClassId) -> None:
+        pass
+
+    def allow_retry(self, class_id: ids.ClassId) -> bool:
+        return True
+
+
+class Daemon:
+    """One daemon and its tasks."""
+
+    def __init__(self, settings: schema.Settings) -> None:
+        self._settings = settings
+        self._stopping = False
+        self._incarnation = ids.Incarnation(secrets.token_hex(8))
+        self._member_id = ids.MemberId(settings.daemon_host_id)
+        self._configuration = published.Published[work.Configuration]()
+        self._metrics = telemetry_metrics.Metrics()
+        self._tracer = spans.Tracer(
+            'nutmegd', enabled=bool(settings.telemetry_spans)
+        )
+        self._span_writer = daemon_spans.SpanWriter(
+            self._tracer, settings.telemetry_spans
+        )
+        self._pool = pool.Pool()
+        self._store = httpstore.HttpStore(
+            settings.platform_store, connections=self._pool
+        )
+        self._host_list = hosts.HttpHostList(
+            settings.platform_hosts, connections=self._pool
+        )
+        self._upstream_client = upstreams.HttpUpstreamClient(self._pool)
+        self._upstreams = daemon_upstreams.UpstreamController(
+            self._host_list, self._upstream_client
+        )
+        self._repository = repositories.Repository(
+            self._store, rng=random.SystemRandom()
+        )
+        self._claims = claim_service.ClaimService(
+            self._store,
+            member_id=self._member_id,
+            incarnation=self._incarnation,
+            members=lambda: (self._member_id, ),
+        )
+        self._claim_filter = claim.ClaimFilter(self._claims)
+        self._callers = server.Server(
+            self._router().handle, limits=self._server_limits()
+        )
+
+    def _server_limits(self) -> server.Limits:
+        return server.Limits(
+            max_connections=self._settings.limits_connections,
+            max_body=self._settings.limits_body,
+            message_seconds=self._settings.limits_message_time,
+        )
+
+    def _chain(self) -> entry_filter.Proceed:
+        dispatcher = dispatch.Dispatcher(
+            self._upstreams,
+            self._upstream_client,
+            _FreeRetries(),
+            self._tracer,
+            self._metrics,
+        )
+        filters = (
+            trace.TraceFilter(self._tracer, self._metrics),
+            readiness.ReadinessFilter(self._configuration),
+            authenticate.AuthenticateFilter(
+                authenticate.TokenIndex(self._configuration)
+            ),
+            classify.ClassifyFilter(self._configuration),
+            deadline.DeadlineFilter(longest=self._settings.limits_deadline),
+            self._claim_filter,
+        )
+        return entry_filter.chain(filters, dispatcher.dispatch)
+
+    def _router(self) -> router.Router:
+        endpoint = requests.RequestEndpoint(self._chain())
+        tokens = operators.OperatorTokens(self._settings.operators_digests)
+        config = operators.ConfigurationEndpoint(self._repository)
+        return router.Router(
+            (
+                router.route(
+                    'POST', '/v1/services/<service>/requests', endpoint.handle
+                ),
+                router.route('GET', '/v1/health', self._health),
+                router.route('GET', '/v1/ready', self._ready),
+                router.route('GET', '/metrics', self._render_metrics),
+                router.route('GET', '/v1/config', tokens.guard(config.show)),
+                router.route(
+                    'GET', '/v1/config/history', tokens.guard(config.history)
+                ),
+                router.route(
+                    'POST', '/v1/config/changes', tokens.guard(config.change)
+                ),
+            )
+        )
+
+    async def _health(
+        self,
+        request: message.Request,
+        parameters: typing.Mapping[str, str],
+    ) -> message.Response:
+        return message.json_response(200, {'status': 'alive'})
+
+    async def _ready(
+        self,
+        request: message.Request,
+        parameters: typing.Mapping[str, str],
+    ) -> message.Response:
+        configuration = self._configuration.value
+        ready = configuration is not None and not self._stopping
+        value = {
+            'ready': ready,
+            'stopping': self._stopping,
+            'config_sequence': configuration.sequence if configuration else 0,
+        }
+        return message.json_response(200 if ready else 503, value)
+
+    async def _render_metrics(
+        self,
+        request: message.Request,
+        parameters: typing.Mapping[str, str],
+    ) -> message.Response:
+        self._metrics.store_calls.set({}, self._store.calls)
+        return self._metrics.render()
+
+    async def run(self) -> bool:
+        """Serve until SIGTERM or SIGINT.
+
+        :return: whether every request was finished.
+        """
+        async with signals.SignalReceiver(signal.SIGTERM,
+                                          signal.SIGINT) as queue:
+            await self._callers.start(*self._settings.daemon_callers)
+            _LOG.info('daemon serves callers', address=self._callers.address)
+            async with curio.TaskGroup(wait=any) as group:
+                for task in (
+                        self._upstreams.run,
+                        self._claims.run,
+                        self._span_writer.run,
+                        self._follow_configuration,
+                        self._retire_connections,
+                ):
+                    await group.spawn(task)
+                stop = await group.spawn(self._stop_on_signal, queue)
+            return bool(stop.result)
+
+    async def _stop_on_signal(self, queue: signals.SignalReceiver) -> bool:
+        number = await queue.get()
+        _LOG.info('daemon stops', signal=int(number))
+        self._stopping = True
+        self._callers.announce_stop()
+        # The balancer goes on sending until it has seen that this daemon is
+        # not ready.
+        await curio.sleep(self._settings.stop_grace)
+        finished = await self._callers.drain(self._settings.stop_limit)
+        await self._claim_filter.drain(OUTCOME_DRAIN_SECONDS)
+        self._span_writer.flush()
+        return finished
+
+    async def _retire_connections(self) -> None:
+        while True:
+            await curio.sleep(RETIRE_SECONDS)
+            await self._pool.retire()
+
+    async def _follow_configuration(self) -> None:
+        while True:
+            loaded = await self._repository.load()
+            if isinstance(loaded, result.Ok) and loaded.ok_value.sequence:
+                self._publish(loaded.ok_value)
+            await curio.sleep(CONFIGURATION_POLL_SECONDS)
+
+    def _publish(self, state: repositories.State) -> None:
+        current = self._configuration.value
+        if current is not None and state.sequence <= current.sequence:
+            return
+        self._configuration.publish(
+            documents.to_configuration(state.document, state.sequence)
+        )
+        self._metrics.config_sequence.set({}, state.sequence)
+        _LOG.info('configuration in force', sequence=state.sequence)
+
+
+__all__ = ('Daemon', )
--- /dev/null
+++ b/src/nutmegworks/daemon/spans.py
@@ -0,0 +1,44 @@
+"""Writes finished spans to a file."""
+from __future__ import annotations
+
+import typing
+
+import curio
+import logbook
+
+from nutmegworks.telemetry import spans
+
+FLUSH_SECONDS: typing.Final = 1.0
+
+_LOG: typing.Final = logbook.Logger('spans')
+
+
+class SpanWriter:
+    """Appends spans as OTLP JSON lines.
+
+    :param path: empty to write nothing.
+    """
+
+    def __init__(self, tracer: spans.Tracer, path: str) -> None:
+        self._tracer = tracer
+        self._path = path
+
+    async def run(self) -> None:
+        """Write until cancelled."""
+        while True:
+            await curio.sleep(FLUSH_SECONDS)
+            self.flush()
+
+    def flush(self) -> None:
+        """Write what is pending."""
+        line = self._tracer.take()
+        if not line or not self._path:
+            return
+        try:
+            with open(self._path, 'ab') as file:
+                file.write(line)
+        except OSError as error:
+            _LOG.warning('spans not written', detail=str(error))
+
+
+__all__ = ('FLUSH_SECONDS', 'SpanWriter')
--- a/src/nutmegworks/entry/authenticate.py
+++ b/src/nutmegworks/entry/authenticate.py
@@ -10,6 +10,7 @@
 from nutmegworks.model import published
 from nutmegworks.model import verdict
 from nutmegworks.model import work
+from nutmegworks.net import message
 
 _SCHEME: typing.Final = 'bearer '
 MAX_TOKEN_CHARACTERS: typing.Final = 256
@@ -23,6 +24,15 @@
     return hashlib.sha256(token.encode('utf-8')).hexdigest()
 
 
+def bearer_token(request: message.Request) -> str:
+    """Return the token of a request; empty if it has none."""
+    header = request.headers.get('authorization', '')
+    token = header[len(_SCHEME):].strip()
+    if not header.lower().startswith(_SCHEME):
+        return ''
+    return token if len(token) <= MAX_TOKEN_CHARACTERS else ''
+
+
 class TokenIndex:
     """Teams by token digest, rebuilt when the configuration changes."""
 
@@ -70,10 +80,8 @@
         context: entry_context.RequestContext,
         proceed: entry_filter.Proceed,
     ) -> entry_filter.Outcome:
-        header = context.request.headers.get('authorization', '')
-        token = header[len(_SCHEME):].strip()
-        if (not header.lower().startswith(_SCHEME) or not token
-                or len(token) > MAX_TOKEN_CHARACTERS):
+        token = bearer_token(context.request)
+        if not token:
             return _unauthenticated('a bearer token is required')
         context.team = self._tokens.team(token)
         if context.team is None:
@@ -87,4 +95,4 @@
     )
 
 
-__all__ = ('AuthenticateFilter', 'TokenIndex', 'token_digest')
+__all__ = ('AuthenticateFilter', 'TokenIndex', 'bearer_token', 'token_digest')
--- a/src/nutmegworks/settings/schema.py
+++ b/src/nutmegworks/settings/schema.py
@@ -37,6 +37,7 @@
     platform_store: tuple[str, int]
     platform_hosts: tuple[str, int]
     cluster_key: bytes
+    operators_digests: tuple[str, ...]
     limits_body: int
     limits_connections: int
     limits_message_time: float
@@ -78,6 +79,10 @@
         'cluster', 'key', values.parse_key, None,
         'secret that daemons share, hexadecimal'
     ),
+    Field(
+        'operators', 'digests', values.parse_digests, '',
+        "SHA-256 digests of the operators' tokens, separated by commas"
+    ),
     Field(
         'limits', 'body', values.parse_bytes, '1 MiB', 'largest request body'
     ),
--- a/src/nutmegworks/settings/values.py
+++ b/src/nutmegworks/settings/values.py
@@ -10,6 +10,8 @@
 _QUANTITY: typing.Final = re.compile(r'^(\d+(?:\.\d+)?) ?([A-Za-z]+)$')
 _NAME: typing.Final = re.compile(r'^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$')
 
+_DIGEST: typing.Final = re.compile(r'^[0-9a-f]{64}$')
+
 MIN_KEY_BYTES: typing.Final = 16
 
 
@@ -85,6 +87,15 @@
     return key
 
 
+def parse_digests(text: str) -> tuple[str, ...]:
+    """Return SHA-256 digests of tokens, separated by commas."""
+    digests = tuple(item.strip() for item in text.split(',') if item.strip())
+    for digest in digests:
+        if not _DIGEST.match(digest):
+            raise ValueError(f'{digest!r} is no SHA-256 in lower-case hex')
+    return digests
+
+
 def parse_level(text: str) -> str:
     """Return a log level."""
     levels = ('debug', 'info', 'warning', 'error')
@@ -105,6 +116,7 @@
     'parse_address',
     'parse_bytes',
     'parse_count',
+    'parse_digests',
     'parse_key',
     'parse_level',
     'parse_name',
--- a/standins/service.py
+++ b/standins/service.py
@@ -3,9 +3,8 @@
 
 import signal
 
-import curio
-
 from nutmegworks.net import server
+from nutmegworks.net import signals
 
 
 async def serve_until_signal(
@@ -17,8 +16,9 @@
     service = server.Server(handler)
     await service.start(host, port)
     print(f'{service.address[0]}:{service.address[1]}', flush=True)
-    async with curio.SignalQueue(signal.SIGTERM, signal.SIGINT) as signals:
-        await signals.get()
+    async with signals.SignalReceiver(signal.SIGTERM,
+                                      signal.SIGINT) as received:
+        await received.get()
 
 
 __all__ = ('serve_until_signal', )
