--- /dev/null
+++ b/src/nutmegworks/cli/client.py
@@ -0,0 +1,163 @@
+"""Calls a daemon's interface from the command line."""
+from __future__ import annotations
+
+import enum
+import typing
+
+import curio
+import msgspec
+import result
+import typer
+
+from nutmegworks.net import client as net_client
+from nutmegworks.net import message
+from nutmegworks.net import pool
+from nutmegworks.settings import values
+
+CALL_TIMEOUT_SECONDS: typing.Final = 30.0
+MAX_RESPONSE_BYTES: typing.Final = 16 * 1024 * 1024
+
+
+class ExitCode(enum.IntEnum):
+    """Exit codes of ``nutmeg``."""
+
+    OK = 0
+    FAILED = 1
+    USAGE = 2
+    REFUSED = 3
+    CONFLICT = 4
+    UNAVAILABLE = 5
+    UNKNOWN = 6
+    UNAUTHENTICATED = 7
+
+
+_EXIT_BY_STATUS: typing.Final = {
+    401: ExitCode.UNAUTHENTICATED,
+    403: ExitCode.UNAUTHENTICATED,
+    409: ExitCode.CONFLICT,
+    429: ExitCode.UNAVAILABLE,
+    502: ExitCode.UNKNOWN,
+    503: ExitCode.UNAVAILABLE,
+    504: ExitCode.UNKNOWN,
+}
+
+_REMEDY_BY_EXIT: typing.Final = {
+    ExitCode.UNAUTHENTICATED:
+    'set NUTMEG_TOKEN to a token with the right to do this',
+    ExitCode.CONFLICT:
+    'read what changed with "nutmeg config history" and decide again',
+    ExitCode.UNAVAILABLE: 'nothing was changed; try again later',
+    ExitCode.UNKNOWN:
+    'it may have taken effect; repeat it with the same --change-id or key',
+    ExitCode.REFUSED: 'nothing was changed; correct what is named above',
+}
+
+
+class Client:
+    """A daemon, or the balancer before several.
+
+    :param address: ``ip:port``.
+    """
+
+    def __init__(self, address: str, token: str) -> None:
+        try:
+            self._address = values.parse_address(address)
+        except ValueError as error:
+            fail(ExitCode.USAGE, f'address {address!r} {error}')
+        self._token = token
+
+    def call(
+        self,
+        method: str,
+        target: str,
+        body: object = None,
+        *,
+        headers: message.Headers | None = None,
+        timeout: float = CALL_TIMEOUT_SECONDS,
+    ) -> message.Response:
+        """Make one call; a refusal ends the command with its exit code.
+
+        :param body: anything that has a JSON form.
+        """
+        response = self.exchange(
+            method, target, body, headers=headers, timeout=timeout
+        )
+        if response.status >= 300:
+            fail_response(response)
+        return response
+
+    def exchange(
+        self,
+        method: str,
+        target: str,
+        body: object = None,
+        *,
+        headers: message.Headers | None = None,
+        timeout: float = CALL_TIMEOUT_SECONDS,
+    ) -> message.Response:
+        """Make one call and return any response."""
+        data = b'' if body is None else msgspec.json.encode(body)
+        merged = {
+            'authorization': f'Bearer {self._token}',
+            'content-type': 'application/json',
+            **(headers or {}),
+        }
+        request = message.Request(method, target, merged, data)
+        answer = curio.run(self._exchange, request, timeout)
+        if isinstance(answer, result.Err):
+            error = answer.err_value
+            code = ExitCode.UNAVAILABLE
+            if error.bytes_written and method != 'GET':
+                code = ExitCode.UNKNOWN
+            fail(code, f'{error.fault.value}: {error.detail}')
+        return answer.ok_value
+
+    async def _exchange(
+        self,
+        request: message.Request,
+        timeout: float,
+    ) -> result.Result[message.Response, net_client.ExchangeError]:
+        connections = pool.Pool()
+        try:
+            return await connections.exchange(
+                self._address,
+                request,
+                timeout=timeout,
+                max_body=MAX_RESPONSE_BYTES,
+            )
+        finally:
+            await connections.close()
+
+
+class _Refused(msgspec.Struct):
+    detail: str = ''
+    reason: str = ''
+    verdict: str = ''
+    kind: str = ''
+    faults: list[str] = msgspec.field(default_factory=list)
+
+
+def fail_response(response: message.Response) -> typing.NoReturn:
+    """End the command with what a refusal says."""
+    code = _EXIT_BY_STATUS.get(response.status, ExitCode.REFUSED)
+    try:
+        refused = msgspec.json.decode(response.body, type=_Refused)
+    except msgspec.DecodeError:
+        fail(code, f'status {response.status}')
+    lines = refused.faults or [refused.detail or f'status {response.status}']
+    parts = (refused.kind, refused.reason, refused.verdict)
+    prefix = ', '.join(part for part in parts if part)
+    fail(code, *(f'{prefix}: {line}' for line in lines))
+
+
+def fail(code: ExitCode, *lines: str) -> typing.NoReturn:
+    """Print an error with its remedy and end the command."""
+    for line in lines:
+        typer.echo(f'error: {line}', err=True)
+    remedy = _REMEDY_BY_EXIT.get(code)
+    if remedy:
+        typer.echo(f'remedy: {remedy}', err=True)
+    raise typer.Exit(int(code))
+
+
+__all__ = ('Client', 'ExitCode', 'fail', 'fail_response')
