--- a/src/nutmegworks/claims/answers.py
+++ b/src/nutmegworks/claims/answers.py
@@ -90,10 +90,7 @@
             return entry
         if entry.ok_value is None or entry.ok_value.value is None:
             return result.Ok(None)
-        answers = _DECODER.decode(entry.ok_value.value)
-        if reference.index >= len(answers):
-            return result.Ok(None)
-        return result.Ok(answers[reference.index])
+        return result.Ok(_answer_at(entry.ok_value.value, reference.index))
 
     async def run(self) -> None:
         """Write segments until cancelled."""
@@ -169,6 +166,13 @@
     return len(answer.body) <= MAX_ANSWER_BYTES
 
 
+def _answer_at(segment: bytes, index: int) -> Answer | None:
+    try:
+        return _DECODER.decode(segment)[index]
+    except (msgspec.DecodeError, IndexError):
+        return None
+
+
 def _path(incarnation: str, segment: int) -> str:
     return f'answers/{incarnation}/{segment}'
 
--- /dev/null
+++ b/tests/claims/test_batcher.py
@@ -0,0 +1,170 @@
+from __future__ import annotations
+
+import curio
+import pytest
+
+from nutmegworks.claims import batcher
+from nutmegworks.claims import key
+from nutmegworks.claims import record
+from tests.claims import operations
+from tests import helpers
+from tests import memory_store
+
+RECORD_KEY = key.record_key(0, operations.EPOCH % key.EPOCH_SLOTS)
+Fault = memory_store.Fault
+
+
+def run(scenario, *, batchers=1):
+    """Run a scenario with a store and running batchers of one shard."""
+    backing = memory_store.MemoryStore(delay=0.001)
+
+    async def main() -> None:
+        items = [
+            batcher.Batcher(backing, 0, write_interval=0.005)
+            for _ in range(batchers)
+        ]
+        tasks = [await curio.spawn(item.run) for item in items]
+        await scenario(backing, *items)
+        for task in tasks:
+            await task.cancel()
+
+    helpers.run(main)
+
+
+def stored(backing):
+    return record.decode(backing.peek(RECORD_KEY).value)
+
+
+def test_many_claims_take_few_writes() -> None:
+    """One write per key would exceed the store's budget."""
+
+    async def scenario(backing, shard) -> None:
+        async with curio.TaskGroup() as group:
+            for number in range(200):
+                operation = operations.claim_operation('a', number=number)
+                await group.spawn(claim, shard, operation)
+        assert all(
+            reply.status is record.Status.GRANTED for reply in group.results
+        )
+        assert len(stored(backing).claim_by_id) == 200
+        assert backing.puts <= 3
+
+    run(scenario)
+
+
+async def claim(shard, operation, timeout=1.0):
+    return await shard.submit(operation, timeout=timeout)
+
+
+def test_racing_daemons_grant_one_attempt() -> None:
+    """A cached record that is out of date must not grant a held key."""
+
+    async def scenario(backing, one, two) -> None:
+        for number in range(20):
+            async with curio.TaskGroup() as group:
+                for shard, attempt in ((one, 'a'), (two, 'b')):
+                    operation = operations.claim_operation(
+                        attempt, number=number
+                    )
+                    await group.spawn(claim, shard, operation)
+            statuses = [reply.status for reply in group.results]
+            assert statuses.count(record.Status.GRANTED) == 1, statuses
+            assert statuses.count(record.Status.IN_PROGRESS) == 1, statuses
+
+    run(scenario, batchers=2)
+
+
+@pytest.mark.parametrize('fault', (Fault.LOSE, Fault.DROP, Fault.DELAY))
+def test_lost_answer_is_resolved_by_attempt_id(fault) -> None:
+    """A write of unknown effect must be granted once, and only once."""
+
+    async def scenario(backing, one, two) -> None:
+        backing.faults.append(fault)
+        first = await claim(one, operations.claim_operation('a'))
+        backing.deliver()
+        second = await claim(two, operations.claim_operation('b'))
+        assert first.status is record.Status.GRANTED
+        assert second.status is record.Status.IN_PROGRESS
+        assert stored(backing).claim_by_id[bytes(16)].attempt_id == 'a'
+
+    run(scenario, batchers=2)
+
+
+def test_stale_read_does_not_resolve_a_lost_answer() -> None:
+    """A read from a lagging replica may lack a claim that was stored."""
+
+    async def scenario(backing, one, two) -> None:
+        await claim(one, operations.claim_operation('x', number=1))
+        old = backing.peek(RECORD_KEY)
+        await claim(two, operations.claim_operation('b'))
+        backing.stale_by_key[RECORD_KEY] = old
+        reply = await claim(one, operations.claim_operation('a'))
+        assert reply.status is record.Status.IN_PROGRESS
+
+    run(scenario, batchers=2)
+
+
+def test_store_out_tells_whether_a_write_is_open() -> None:
+    """DID_NOT_RUN is true only if no write can take effect later."""
+
+    async def scenario(backing, shard) -> None:
+        await claim(shard, operations.claim_operation('x', number=1))
+        backing.faults.append(Fault.DOWN)
+        refused = await claim(shard, operations.claim_operation('a'))
+        assert refused.status is record.Status.STORE_UNAVAILABLE
+        assert not refused.write_sent
+        await claim(shard, operations.claim_operation('x', number=2))
+        backing.faults.extend([Fault.DELAY, Fault.DOWN])
+        unknown = await claim(shard, operations.claim_operation('a'))
+        assert unknown.status is record.Status.STORE_UNAVAILABLE
+        assert unknown.write_sent
+
+    run(scenario)
+
+
+def test_outcome_survives_an_outage(monkeypatch) -> None:
+    """An outcome met by an outage must be stored once the store is back."""
+    monkeypatch.setattr(batcher, 'RETRY_SECONDS', 0.02)
+    monkeypatch.setattr(batcher, 'FINISH_DELAY_SECONDS', 0.01)
+
+    async def scenario(backing, shard) -> None:
+        await claim(shard, operations.claim_operation('a'))
+        backing.down = True
+        await shard.post(operations.finish_operation(record.State.RAN))
+        await curio.sleep(0.05)
+        backing.down = False
+        await curio.sleep(0.05)
+        held = stored(backing).claim_by_id[bytes(16)]
+        assert held.state is record.State.RAN
+
+    run(scenario)
+
+
+def test_outcome_by_a_daemon_with_an_old_copy(monkeypatch) -> None:
+    """A copy without the claim must be read again, not believed."""
+    monkeypatch.setattr(batcher, 'FINISH_DELAY_SECONDS', 0.01)
+
+    async def scenario(backing, one, two) -> None:
+        await claim(two, operations.claim_operation('x', number=1))
+        await claim(one, operations.claim_operation('a'))
+        reply = await claim(two, operations.finish_operation(record.State.RAN))
+        assert reply.status is record.Status.DONE
+
+    run(scenario, batchers=2)
+
+
+def test_waiting_operations_are_bounded(monkeypatch) -> None:
+    """A slow store must not let waiting claims fill the memory."""
+    monkeypatch.setattr(batcher, 'MAX_WAITING', 2)
+
+    async def scenario(backing, shard) -> None:
+        backing.delay = 0.05
+        async with curio.TaskGroup() as group:
+            for number in range(8):
+                operation = operations.claim_operation('a', number=number)
+                await group.spawn(claim, shard, operation)
+        statuses = [reply.status for reply in group.results]
+        assert record.Status.OVERLOADED in statuses
+        assert record.Status.GRANTED in statuses
+
+    run(scenario)
--- /dev/null
+++ b/tests/claims/test_service.py
@@ -0,0 +1,231 @@
+from __future__ import annotations
+
+import curio
+import pytest
+import result
+
+from nutmegworks.claims import answers
+from nutmegworks.claims import forwarder
+from nutmegworks.claims import key
+from nutmegworks.claims import record
+from nutmegworks.claims import service
+from nutmegworks.model import verdict
+from tests import helpers
+from tests import memory_store
+
+EPOCH = 176_000_000
+KEY = f'{EPOCH}-order-1'
+BODY = b'b' * 16
+Fault = memory_store.Fault
+DID_NOT_RUN = verdict.Verdict.DID_NOT_RUN
+MAY_HAVE_RUN = verdict.Verdict.MAY_HAVE_RUN
+
+
+class Forwarder(forwarder.ClaimForwarder):
+    """Calls the service of another daemon in the same process.
+
+    :ivar lose_replies: the other daemon handles the operation, unheard.
+    """
+
+    def __init__(self) -> None:
+        self.service_by_id: dict = {}
+        self.calls = 0
+        self.lose_replies = False
+
+    async def forward(self, member_id, operation, *, timeout):
+        self.calls += 1
+        reply = await self.service_by_id[member_id].serve(operation)
+        if self.lose_replies:
+            return result.Err(forwarder.ForwardError('lost', sent=True))
+        return result.Ok(reply)
+
+
+def run(scenario, *, daemons=2, forwarding=False):
+    """Run a scenario with a store and the services of some daemons."""
+    backing = memory_store.MemoryStore(delay=0.001)
+    messages = Forwarder()
+    names = [f'd{number}' for number in range(daemons)]
+
+    async def main() -> None:
+        for name in names:
+            messages.service_by_id[name] = service.ClaimService(
+                backing,
+                member_id=name,
+                incarnation=f'{name}-1',
+                members=lambda: names if forwarding else (),
+                forwarder=messages if forwarding else None,
+                wall_clock=lambda: 10.0 * EPOCH + 5,
+            )
+        services = list(messages.service_by_id.values())
+        tasks = [await curio.spawn(item.run) for item in services]
+        await scenario(backing, messages, *services)
+        for task in tasks:
+            await task.cancel()
+
+    helpers.run(main)
+
+
+async def claim(daemon, *, first=True, text=KEY, timeout=1.0):
+    return await daemon.claim(
+        text, 'north', BODY, first_attempt=first, timeout=timeout
+    )
+
+
+async def finish(daemon, granted, state, answer=None):
+    return await daemon.finish(
+        KEY, 'north', granted.unwrap().attempt_id, state, answer=answer
+    )
+
+
+@pytest.mark.parametrize('forwarding', (False, True))
+def test_retry_by_another_host_gets_the_response(forwarding) -> None:
+    """A retry elsewhere must get the first response, not run again."""
+    kept = answers.Answer('text/plain', b'route 7')
+
+    async def scenario(backing, messages, one, two) -> None:
+        granted = await claim(one)
+        refused = await claim(two, first=False)
+        assert refused.err_value.reason is verdict.Reason.IN_PROGRESS
+        waiting = await curio.spawn(
+            lambda: two.outcome(KEY, 'north', BODY, timeout=2.0)
+        )
+        assert await finish(one, granted, record.State.RAN, kept)
+        for outcome in (await waiting.join(), await claim(two, first=False)):
+            assert outcome.ok_value == service.Finished(kept)
+        other = await two.outcome(KEY, 'north', b'x' * 16, timeout=1.0)
+        assert other.err_value.reason is verdict.Reason.KEY_REUSED
+
+    run(scenario, forwarding=forwarding)
+
+
+def test_large_response_is_reported_as_ran_and_lost() -> None:
+    """A response that is not kept must not make the request run again."""
+
+    async def scenario(backing, messages, one, two) -> None:
+        granted = await claim(one)
+        large = answers.Answer('', bytes(answers.MAX_ANSWER_BYTES + 1))
+        assert await finish(one, granted, record.State.RAN, large)
+        lost = (await claim(two, first=False)).err_value
+        assert lost.verdict is verdict.Verdict.RAN
+        assert lost.reason is verdict.Reason.ANSWER_LOST
+
+    run(scenario)
+
+
+def test_store_out_gives_a_true_verdict() -> None:
+    """Without the store only a first attempt is known not to have run."""
+
+    async def scenario(backing, messages, one, two) -> None:
+        await claim(one)
+        backing.down = True
+        first = await claim(two, text=f'{EPOCH}-order-2')
+        retry = await claim(two, first=False)
+        assert first.err_value.verdict is DID_NOT_RUN
+        assert retry.err_value.verdict is MAY_HAVE_RUN
+        assert retry.err_value.retry_after
+
+    run(scenario)
+
+
+def test_unconfirmed_claim_is_not_granted_and_is_released(
+    monkeypatch,
+) -> None:
+    """A claim that nobody sends must not block its key for an hour."""
+    monkeypatch.setattr('nutmegworks.claims.batcher.RETRY_SECONDS', 0.02)
+
+    async def scenario(backing, messages, one, two) -> None:
+        backing.faults.append(Fault.LOSE_AND_DOWN)
+        unknown = await claim(one)
+        assert unknown.err_value.verdict is MAY_HAVE_RUN
+        backing.down = False
+        outcome = await two.outcome(KEY, 'north', BODY, timeout=2.0)
+        assert isinstance(outcome.ok_value, service.Granted)
+
+    run(scenario)
+
+
+def test_cancelled_claim_is_released() -> None:
+    """A caller that goes away while its claim is written frees the key."""
+
+    async def scenario(backing, messages, one, two) -> None:
+        backing.delay = 0.02
+        task = await curio.spawn(lambda: claim(one))
+        await curio.sleep(0.03)
+        await task.cancel()
+        backing.delay = 0.0
+        outcome = await two.outcome(KEY, 'north', BODY, timeout=2.0)
+        assert isinstance(outcome.ok_value, service.Granted)
+
+    run(scenario)
+
+
+def test_outcome_is_bounded_in_time_and_reads() -> None:
+    """Many retries of a slow request must not exceed the read budget."""
+
+    async def scenario(backing, messages, one, two) -> None:
+        await claim(one)
+        backing.gets = 0
+        async with curio.TaskGroup() as group:
+            for _ in range(50):
+                await curio.sleep(0.005)
+                await group.spawn(
+                    lambda: two.outcome(KEY, 'north', BODY, timeout=0.6)
+                )
+        for refused in group.results:
+            assert refused.err_value.reason is verdict.Reason.IN_PROGRESS
+            assert refused.err_value.verdict is MAY_HAVE_RUN
+        assert backing.gets <= 12
+
+    run(scenario)
+
+
+def test_paused_holder_and_reused_slot() -> None:
+    """A retry an hour later must not run beside a holder that resumes."""
+
+    async def scenario(backing, messages, one, two) -> None:
+        granted = await claim(one)
+        later = f'{EPOCH + key.EPOCH_SLOTS}-'
+        two._wall_clock = lambda: 10.0 * (EPOCH + key.EPOCH_SLOTS)
+        shard = key.parse(KEY, 'north').unwrap().shard
+        same_shard = next(
+            text for text in (f'{later}{number}' for number in range(99))
+            if key.parse(text, 'north').unwrap().shard == shard
+        )
+        assert (await claim(two, text=same_shard)).is_ok()
+        expired = await claim(two, first=False)
+        assert expired.err_value.reason is verdict.Reason.KEY_EXPIRED
+        assert expired.err_value.verdict is MAY_HAVE_RUN
+        assert not await finish(one, granted, record.State.RAN)
+
+    run(scenario)
+
+
+def test_lost_forward_is_repeated_locally_with_one_grant() -> None:
+    """A lost message between daemons must not cost or double the claim."""
+
+    async def scenario(backing, messages, *services) -> None:
+        messages.lose_replies = True
+        outcomes = [await claim(daemon, first=False) for daemon in services]
+        assert sum(outcome.is_ok() for outcome in outcomes) == 1
+        assert outcomes[0].is_ok()
+        assert messages.calls >= 2
+        backing.down = True
+        text = f'{EPOCH}-order-2'
+        refused = [await claim(daemon, text=text) for daemon in services]
+        verdicts = [item.err_value.verdict for item in refused]
+        # The preferred daemon forwards nothing and knows its own writes.
+        assert verdicts.count(MAY_HAVE_RUN) == 2
+        assert verdicts.count(DID_NOT_RUN) == 1
+
+    run(scenario, daemons=3, forwarding=True)
+
+
+def test_key_ahead_of_the_clock_is_refused() -> None:
+    """A far epoch would expire the keys of the present in its slot."""
+
+    async def scenario(backing, messages, one, two) -> None:
+        refused = await claim(one, text=f'{EPOCH + 7}-a', first=False)
+        assert refused.err_value.verdict is MAY_HAVE_RUN
+        assert backing.puts == 0
+
+    run(scenario)
