--- /dev/null
+++ b/src/nutmegworks/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduling decisions of one failure domain: events in, actions out."""
