--- /dev/null
+++ b/src/nutmegworks/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Job records, gang commit and recovery."""
--- /dev/null
+++ b/src/nutmegworks/jobs/record.py
@@ -0,0 +1,232 @@
+"""The durable record of a job and its allowed transitions."""
+from __future__ import annotations
+
+import enum
+import typing
+
+import msgspec
+import xxhash
+
+from nutmegworks.model import ids
+from nutmegworks.model import shape
+from nutmegworks.model import work
+from nutmegworks.policy import events
+
+PREFIX: typing.Final = 'jobs/'
+KEY_PREFIX: typing.Final = 'jobkeys/'
+RESULT_PREFIX: typing.Final = 'answers/jobs/'
+
+MAX_INLINE_RESULT_BYTES: typing.Final = 64 * 1024
+MAX_RESULT_BYTES: typing.Final = 256 * 1024
+# Enough that a writer finds its own write below those of a few others.
+REMEMBERED_WRITES: typing.Final = 8
+
+
+class JobState(enum.Enum):
+    """State of a job in the store.
+
+    Reservations are not recorded: they promise nothing that outlives their
+    owner, and a write for each start would be one more per job.
+
+    ACCEPTED: waits; no attempt that could have executed counts.
+    COMMITTED: its gang may execute.
+    CHECKPOINTED: stopped; continues from a checkpoint.
+    MAY_HAVE_RUN: ended; it executed in part or in whole.
+    """
+
+    ACCEPTED = 'accepted'
+    COMMITTED = 'committed'
+    CHECKPOINTED = 'checkpointed'
+    DONE = 'done'
+    FAILED = 'failed'
+    CANCELLED = 'cancelled'
+    MAY_HAVE_RUN = 'may-have-run'
+
+
+NEXT_STATES: typing.Final[typing.Mapping[JobState, frozenset[JobState]]] = {
+    JobState.ACCEPTED:
+    frozenset({JobState.COMMITTED, JobState.CANCELLED, JobState.FAILED}),
+    JobState.COMMITTED:
+    frozenset(JobState),
+    JobState.CHECKPOINTED:
+    frozenset({JobState.COMMITTED, JobState.CANCELLED, JobState.FAILED}),
+    JobState.DONE:
+    frozenset(),
+    JobState.FAILED:
+    frozenset(),
+    JobState.CANCELLED:
+    frozenset(),
+    JobState.MAY_HAVE_RUN:
+    frozenset(),
+}
+
+FINAL_STATES: typing.Final = frozenset(
+    state for state, following in NEXT_STATES.items() if not following
+)
+WAITING_STATES: typing.Final = frozenset(
+    {JobState.ACCEPTED, JobState.CHECKPOINTED}
+)
+
+
+class TransitionError(Exception):
+    """A job record must not change in this way."""
+
+
+class Run(msgspec.Struct, frozen=True):
+    """The attempt that was committed last.
+
+    :param commit_id: unique to the commit; later writes keep it.
+    :param committed_at: seconds since 1970.
+    """
+
+    run_id: ids.RunId
+    attempt: int
+    fencing_token: ids.FencingToken
+    members: tuple[events.Member, ...]
+    commit_id: str
+    committed_at: float
+
+
+class JobRecord(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A job from acceptance to its end.
+
+    :param body_digest: of the request that created the job.
+    :param idempotent: as its class said when it was accepted.
+    :param accepted_at: seconds since 1970; the target counts from here.
+    :param runs: number of different run ids so far.
+    :param attempts: number of committed starts so far.
+    :param checkpoint: of the whole gang; empty if there is none.
+    :param result: of the first member, if it is small enough.
+    :param result_key: where a larger result is stored.
+    :param writes: ids of the latest writes, newest last.
+    """
+
+    job_id: ids.JobId
+    shard_id: ids.ShardId
+    team_id: ids.TeamId
+    class_id: ids.ClassId
+    idempotency_key: ids.IdempotencyKey
+    body_digest: str
+    shape: str
+    run_time: float
+    payload: bytes
+    idempotent: bool
+    accepted_at: float
+    state: JobState = JobState.ACCEPTED
+    cancel_requested: bool = False
+    runs: int = 0
+    attempts: int = 0
+    run: Run | None = None
+    checkpoint: str = ''
+    result: bytes | None = None
+    result_key: str = ''
+    detail: str = ''
+    ended_at: float = 0.0
+    writes: tuple[str, ...] = ()
+
+    @property
+    def spec(self) -> work.JobSpec:
+        return work.JobSpec(
+            team_id=self.team_id,
+            class_id=self.class_id,
+            shape=shape.Shape.parse(self.shape),
+            run_time=self.run_time,
+            payload=self.payload,
+        )
+
+    @property
+    def final(self) -> bool:
+        return self.state in FINAL_STATES
+
+
+class KeyRecord(msgspec.Struct, frozen=True):
+    """Binds an idempotency key to one body and one scheduling shard.
+
+    It is written before the job record. Without it two daemons could accept
+    the same key in two shards, and the job would run in both.
+    """
+
+    team_id: ids.TeamId
+    idempotency_key: ids.IdempotencyKey
+    shard_id: ids.ShardId
+    body_digest: str
+    write_id: str
+
+
+def job_id(team_id: ids.TeamId, key: ids.IdempotencyKey) -> ids.JobId:
+    """Return the id that a team and an idempotency key always lead to.
+
+    >>> job_id(ids.TeamId('north'), ids.IdempotencyKey('1-a'))
+    'e70b3c49bacdd459fdb5d5a8d0879337'
+    """
+    text = f'{len(team_id)}:{team_id}{key}'
+    return ids.JobId(xxhash.xxh3_128_hexdigest(text.encode()))
+
+
+def run_id(job: ids.JobId, run: int) -> ids.RunId:
+    """Return the id of a job's run; a resumption keeps it."""
+    return ids.RunId(f'{job}.{run}')
+
+
+def job_of_run(run: ids.RunId) -> ids.JobId:
+    """Return the job of a run."""
+    return ids.JobId(run.rpartition('.')[0])
+
+
+def store_key(shard_id: ids.ShardId, job: ids.JobId) -> str:
+    """Return the key of a job record."""
+    return f'{PREFIX}{shard_id}/{job}'
+
+
+def advance(
+    record: JobRecord,
+    write_id: str,
+    changes: typing.Mapping[str, typing.Any],
+) -> JobRecord:
+    """Return the record with changes.
+
+    :raises TransitionError: if the state table does not allow them.
+    """
+    state = changes.get('state', record.state)
+    if state not in NEXT_STATES[record.state]:
+        raise TransitionError(f'{record.state.value} to {state.value}')
+    writes = (*record.writes, write_id)[-REMEMBERED_WRITES:]
+    return msgspec.structs.replace(record, writes=writes, **changes)
+
+
+def encode(record: JobRecord | KeyRecord) -> bytes:
+    """Return the stored form."""
+    return msgspec.msgpack.encode(record)
+
+
+def decode(value: bytes) -> JobRecord:
+    """Read the stored form.
+
+    :raises msgspec.DecodeError: if the value is not a job record.
+    """
+    return msgspec.msgpack.decode(value, type=JobRecord)
+
+
+__all__ = (
+    'FINAL_STATES',
+    'JobRecord',
+    'JobState',
+    'KEY_PREFIX',
+    'KeyRecord',
+    'MAX_INLINE_RESULT_BYTES',
+    'MAX_RESULT_BYTES',
+    'NEXT_STATES',
+    'PREFIX',
+    'REMEMBERED_WRITES',
+    'RESULT_PREFIX',
+    'Run',
+    'TransitionError',
+    'WAITING_STATES',
+    'advance',
+    'decode',
+    'encode',
+    'job_id',
+    'job_of_run',
+    'run_id',
+    'store_key',
+)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,6 +1,7 @@
 """Builds test data; every argument has a plausible default."""
 from __future__ import annotations
 
+from nutmegworks.jobs import record
 from nutmegworks.model import ids
 from nutmegworks.model import shape
 from nutmegworks.model import work
@@ -78,4 +79,29 @@
     )
 
 
-__all__ = ('configuration', 'job_spec', 'team', 'work_class')
+def job_record(
+    key: str = '1-a',
+    *,
+    shard: str = 'amman-north',
+    shape_text: str = '1x8',
+    idempotent: bool = True,
+    payload: bytes = b'',
+) -> record.JobRecord:
+    team_id = ids.TeamId('north')
+    idempotency_key = ids.IdempotencyKey(key)
+    return record.JobRecord(
+        job_id=record.job_id(team_id, idempotency_key),
+        shard_id=ids.ShardId(shard),
+        team_id=team_id,
+        class_id=ids.ClassId('plan'),
+        idempotency_key=idempotency_key,
+        body_digest='digest',
+        shape=shape_text,
+        run_time=600.0,
+        payload=payload,
+        idempotent=idempotent,
+        accepted_at=1000.0,
+    )
+
+
+__all__ = ('configuration', 'job_record', 'job_spec', 'team', 'work_class')
