platform: drop a redundant check from the resolution of lost responses

Ruled out: a test for the check, because no case needs it: the first version after the expected one shows who won, and a later one still lists the write. Change: cas.py compares the reread revision with the expected one only.

--- a/src/nutmegworks/platform/cas.py
+++ b/src/nutmegworks/platform/cas.py
@@ -49,7 +49,7 @@
         if not sent and error.fault is not store.StoreFault.UNKNOWN:
             return answer
         sent = True
-        seen = await _resolve(store_client, key, expected, is_own, error)
+        seen = await _resolve(store_client, key, expected, is_own)
         if seen is not None:
             return seen
     return result.Err(store.StoreError(store.StoreFault.UNKNOWN, error.detail))
@@ -60,7 +60,6 @@
     key: str,
     expected: ids.StoreRevision,
     is_own: IsOwn,
-    error: store.StoreError,
 ) -> result.Result[ids.StoreRevision, store.StoreError] | None:
     """Return what became of a write, or None if that is still open."""
     answer = await store_client.get(key)
@@ -70,8 +69,8 @@
     revision = store.ABSENT if entry is None else entry.revision
     if entry is not None and entry.value is not None and is_own(entry.value):
         return result.Ok(revision)
-    # A read may be older than the conflict that the write has just met.
-    if revision <= expected or revision < error.revision:
+    # Any later version shows who won: this write, or one that excludes it.
+    if revision <= expected:
         return None
     return result.Err(
         store.StoreError(store.StoreFault.CONFLICT, revision=revision)
