--- /dev/null
+++ b/tests/jobs/test_gang.py
@@ -0,0 +1,224 @@
+from __future__ import annotations
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from nutmegworks.jobs import gang
+from nutmegworks.model import ids
+from nutmegworks.platform import workers
+
+STEP = workers.Step
+FAULT = workers.WorkerFault
+PHASE = workers.TaskPhase
+MEMBERS = [ids.WorkerId(name) for name in ('a', 'b', 'c')]
+PHASE_AFTER = {
+    STEP.RESERVE: PHASE.RESERVED,
+    STEP.STAGE: PHASE.STAGED,
+    STEP.GO: PHASE.RUNNING,
+    STEP.RENEW: PHASE.RUNNING,
+    STEP.CHECKPOINT: PHASE.RUNNING,
+    STEP.STOP: PHASE.STOPPED,
+}
+
+
+def answer(
+    send: gang.Send,
+    fault: workers.WorkerFault | None = None,
+    phase: workers.TaskPhase | None = None,
+    checkpoint: str = '',
+) -> gang.Answered:
+    task = workers.TaskReport(
+        run_id=ids.RunId('r'),
+        phase=phase or PHASE_AFTER[send.step],
+        checkpoint=checkpoint,
+        result=b'x',
+    )
+    return gang.Answered(
+        send.round_number, send.worker_id, fault, None if fault else task
+    )
+
+
+def drive(
+    machine: gang.Gang,
+    first: gang.Event,
+    *,
+    until: gang.Phase,
+) -> list[gang.Command]:
+    """Answer every message as asked until a phase is reached."""
+    open_commands = machine.handle(first)
+    while machine.phase is not until:
+        command = open_commands.pop(0)
+        if isinstance(command, gang.Send):
+            open_commands += machine.handle(answer(command))
+        elif isinstance(command, gang.Commit):
+            event = gang.CommitAnswered(gang.CommitResult.COMMITTED)
+            open_commands += machine.handle(event)
+    return open_commands
+
+
+class Watcher:
+    """Checks every command against what the gang was told so far."""
+
+    def __init__(self) -> None:
+        self.staged: set[ids.WorkerId] = set()
+        self.committed = False
+        self.bad = False
+        self.open: list[gang.Command] = []
+        self.round_of_unanswered: dict[ids.WorkerId, int] = {}
+        self.ended: gang.Ended | None = None
+
+    def note(self, event: gang.Event) -> None:
+        if isinstance(event, gang.CommitAnswered):
+            self.committed = event.commit is gang.CommitResult.COMMITTED
+        if isinstance(event, gang.Answered):
+            task = event.task
+            if event.fault is None:
+                self.round_of_unanswered.pop(event.worker_id, None)
+            if task is not None and task.phase is PHASE.STAGED:
+                self.staged.add(event.worker_id)
+            self.bad = self.bad or (
+                event.fault not in (None, FAULT.NO_ANSWER, FAULT.NOT_SENT) or
+                (task is not None and task.phase is PHASE.FAILED)
+            )
+
+    def take(self, commands: list[gang.Command]) -> None:
+        for command in commands:
+            if isinstance(command, gang.Commit):
+                assert self.staged == set(MEMBERS)
+            if isinstance(command, gang.Send):
+                self._check_send(command)
+            if isinstance(command, gang.Ended):
+                self.ended = command
+        self.open += [
+            command for command in commands
+            if isinstance(command, (gang.Send, gang.Commit))
+        ]
+
+    def _check_send(self, send: gang.Send) -> None:
+        if send.step is STEP.GO:
+            assert self.committed and self.staged == set(MEMBERS)
+        if send.lease_seconds:
+            assert not self.bad, 'a lease was extended after a failure'
+            rounds = set(self.round_of_unanswered.values())
+            assert rounds <= {send.round_number}, 'a member is silent'
+        self.round_of_unanswered[send.worker_id] = send.round_number
+
+
+@hypothesis.settings(max_examples=300, deadline=None, derandomize=True)
+@hypothesis.given(strategies.data())
+def test_nothing_starts_or_is_renewed_unless_all_are_well(data) -> None:
+    """No order of answers, faults and requests may start a part only.
+
+    Guards against ``go`` before the commit, renewals after a failure, an
+    end that is never reached, and a start that is reported as not executed.
+    """
+    machine = gang.Gang(MEMBERS)
+    watcher = Watcher()
+    watcher.take(machine.handle(gang.Begin()))
+    went = False
+    faults = [None] * 24 + list(FAULT)
+    extras = [
+        gang.RenewDue(),
+        gang.StopAsked(),
+        gang.CheckpointAsked(),
+        gang.Reported(MEMBERS[0]),
+    ]
+    for _ in range(60):
+        event = data.draw(strategies.sampled_from(extras))
+        if watcher.open and data.draw(strategies.integers(0, 9)):
+            index = data.draw(strategies.integers(0, len(watcher.open) - 1))
+            command = watcher.open.pop(index)
+            event = gang.CommitAnswered(
+                data.draw(strategies.sampled_from(gang.CommitResult))
+            )
+            if isinstance(command, gang.Send):
+                fault = data.draw(strategies.sampled_from(faults))
+                event = answer(command, fault)
+                took_effect = fault in (None, FAULT.NO_ANSWER)
+                went = went or (command.step is STEP.GO and took_effect)
+        watcher.note(event)
+        watcher.take(machine.handle(event))
+        if watcher.ended is not None:
+            break
+    if machine.phase is gang.Phase.STOPPING:
+        watcher.take(machine.handle(gang.LeasesOver()))
+        assert watcher.ended is not None
+    if watcher.ended is not None:
+        assert watcher.ended.executed or not went
+
+
+@pytest.mark.parametrize(
+    ('phases', 'steps'),
+    [
+        (['running', 'staged', 'running'], [STEP.GO]),
+        (['finished', 'running', 'running'], [STEP.RENEW, STEP.RENEW]),
+        (['running', 'expired', 'staged'], [STEP.STOP] * 3),
+        (['staged', None, 'staged'], [STEP.STOP] * 3),
+    ],
+)
+def test_takeover_rolls_forward_or_stops(phases, steps) -> None:
+    """A new owner must complete a start, or stop every part of it."""
+    machine = gang.Gang(MEMBERS)
+    probes = machine.handle(gang.TakeOver())
+    assert {probe.lease_seconds for probe in probes} == {0.0}
+    commands: list[gang.Command] = []
+    for probe, phase in zip(probes, phases):
+        if phase is None:
+            event = answer(probe, FAULT.UNKNOWN_RUN)
+        else:
+            event = answer(probe, phase=PHASE(phase))
+        commands += machine.handle(event)
+    sent = [item.step for item in commands if isinstance(item, gang.Send)]
+    assert sent == steps
+
+
+def test_stop_is_repeated_until_the_lease_is_over() -> None:
+    """An unreachable member must not be reported as stopped too early."""
+    machine = gang.Gang(MEMBERS)
+    drive(machine, gang.Begin(), until=gang.Phase.RUNNING)
+    stops = machine.handle(gang.StopAsked())
+    wait = stops.pop(0)
+    assert wait.seconds > gang.RUNNING_LEASE_SECONDS
+    for stop in stops[1:]:
+        assert machine.handle(answer(stop)) == []
+    lost = stops[0]
+    for _ in range(20):
+        lost, = machine.handle(answer(lost, FAULT.NO_ANSWER))
+        assert lost.step is STEP.STOP
+    ended, = machine.handle(gang.LeasesOver())
+    assert ended.executed and ended.outcome is gang.Outcome.STOPPED
+
+
+@pytest.mark.parametrize(
+    ('faults', 'executed'),
+    [
+        ([FAULT.NO_ANSWER, FAULT.UNKNOWN_RUN], True),
+        ([FAULT.UNKNOWN_RUN], False),
+        ([FAULT.NOT_SENT] * gang.MAX_SENDS, False),
+    ],
+)
+def test_unanswered_go_may_have_executed(faults, executed) -> None:
+    """A worker that forgot a run may have executed it before."""
+    machine = gang.Gang(MEMBERS[:1])
+    send = drive(machine, gang.Begin(), until=gang.Phase.STARTING)[-1]
+    for fault in faults:
+        send = machine.handle(answer(send, fault))[-1]
+    ended = machine.handle(answer(send))[-1]
+    assert ended.executed is executed and ended.committed
+
+
+def test_checkpoint_of_a_part_is_none() -> None:
+    """A checkpoint without every member must not be recorded."""
+    machine = gang.Gang(MEMBERS)
+    drive(machine, gang.Begin(), until=gang.Phase.RUNNING)
+
+    def ask(refs: list[str]) -> gang.Command:
+        commands = machine.handle(gang.CheckpointAsked())
+        for send, ref in zip(commands, refs):
+            fault = None if ref else FAULT.WRONG_PHASE
+            last = machine.handle(answer(send, fault, checkpoint=ref))
+        return last[0]
+
+    assert ask(['a1', 'b1', 'c1']) == gang.Checkpointed('a1,b1,c1')
+    assert isinstance(ask(['a2', '', 'c2']), gang.CheckpointFailed)
