--- a/src/nutmegworks/policy/events.py
+++ b/src/nutmegworks/policy/events.py
@@ -10,7 +10,7 @@
 import typing
 
 from nutmegworks.model import ids
-from nutmegworks.model import verdict
+from nutmegworks.model import verdict as verdicts
 from nutmegworks.model import work
 
 
@@ -287,7 +287,7 @@
 class RefuseJob(JobAction):
     """End a job that will not be started again."""
 
-    verdict: verdict.Verdict
+    verdict: verdicts.Verdict
 
 
 Action: typing.TypeAlias = (
