tests: correct the order of events in a test of the quarantine

The failing test expected no quarantine at a third failure whose two predecessors were already confirmed by successes elsewhere; the code was right. Change: the test now reports the three failures before the first success.

--- a/tests/policy/test_quarantine.py
+++ b/tests/policy/test_quarantine.py
@@ -65,7 +65,7 @@
     pool = quarantine.Quarantine(24)
     for job in range(3):
         assert not pool.failed('bad', job, 'team', 0.0)
-        convicted = pool.succeeded('good', job, 0.0)
+    convicted = pool.succeeded('good', 0, 0.0)
     assert [item.worker_id for item in convicted] == ['bad']
     # Then a failure on it does not excuse the next bad worker
     for job in range(3, 6):
