policy: doubt teams whose jobs fail on several workers

Ruled out: counting only failures that a success elsewhere confirms: jobs run for hours, so a bad worker would eat many jobs first (not measured). Measured: the new test failed before (6 restricted) and passes.

--- a/src/nutmegworks/policy/quarantine.py
+++ b/src/nutmegworks/policy/quarantine.py
@@ -67,7 +67,12 @@
         now: float,
     ) -> list[Transition]:
         """Record that a task failed by the worker's or the job's fault."""
-        self._evidence.add_failure(worker_id, job_id, team_id)
+        self._evidence.add_failure(
+            worker_id,
+            job_id,
+            team_id,
+            self._is_trusted,
+        )
         return self._judge(worker_id, now)
 
     def succeeded(
--- a/tests/policy/test_quarantine.py
+++ b/tests/policy/test_quarantine.py
@@ -60,6 +60,27 @@
         assert not pool.failed(worker, 'same-job', 'other', number)
 
 
+def test_broken_releases_of_most_teams_quarantine_nobody() -> None:
+    """Failures of several teams at once must not convict healthy workers."""
+    bad_jobs = {job for job in range(400) if job % 4}
+    _, most = _run(quarantine.Quarantine(24), set(), bad_jobs)
+    assert most == 0
+
+
+def test_one_bad_job_of_a_sound_team_is_no_evidence() -> None:
+    """Bad jobs of several teams must not add up; their good jobs count."""
+    pool = quarantine.Quarantine(24)
+    for team in range(3):
+        pool.failed('a', f'{team}-good', team, 0.0)
+        pool.succeeded('b', f'{team}-good', 0.0)
+        pool.succeeded('a', f'{team}-other', 0.0)
+        assert not pool.failed('c', f'{team}-bad', team, 0.0)
+        assert not pool.failed('d', f'{team}-bad', team, 0.0)
+    for team in range(3):
+        pool.failed('e', f'{team}-next', team, 0.0)
+    assert pool.state('e') is _State.QUARANTINED
+
+
 def test_success_elsewhere_convicts_even_with_one_team() -> None:
     """A pool with one team must not keep a worker that fails every task."""
     pool = quarantine.Quarantine(24)
@@ -119,8 +140,8 @@
     """Job ids arrive for ever; memory must not grow with them."""
     kept = evidence.Evidence()
     for job in range(3 * evidence.MAX_JOBS):
-        kept.add_failure(job % 7, job, 'team')
-        kept.add_failure(job, 'everywhere', 'team')
+        kept.add_failure(job % 7, job, 'team', bool)
+        kept.add_failure(job, 'everywhere', 'team', bool)
     assert len(kept._job_by_id) == evidence.MAX_JOBS
     failures = kept._failures_by_worker
     assert max(map(len, failures.values())) <= evidence.MAX_FAILURES_PER_WORKER
