accounting: ledger of accelerator time by use

Cause: the parent organisation must see where each accelerator-second went, and the sums must match the capacity exactly.

--- /dev/null
+++ b/src/nutmegworks/accounting/__init__.py
@@ -0,0 +1,1 @@
+"""How each accelerator-second was used, by whom and why."""
