accounting: text tables, HTML page and their documentation

Cause: the parent organisation pays and reads the account; operators read tables in a terminal. Ruled out: a plotting library (the page would need it to be made, and bars are enough); JSON as the stored form (1.4 MB in the worst case). Change: table.py, page.py (string templates, inline SVG), example.py whose output docs/account.md shows; a test keeps the page and the code the same. Conclusion: the page was checked by parsing it, not by looking at it in a browser; none was available.

--- /dev/null
+++ b/src/nutmegworks/accounting/example.py
@@ -0,0 +1,125 @@
+"""Builds the account that docs/account.md shows.
+
+Run ``python -m nutmegworks.accounting.example`` for the tables, or with the
+path of a file to write the page to.
+"""
+from __future__ import annotations
+
+import pathlib
+import typing
+
+import typer
+
+from nutmegworks.accounting import attribution
+from nutmegworks.accounting import ledger
+from nutmegworks.accounting import page
+from nutmegworks.accounting import report
+from nutmegworks.accounting import table
+from nutmegworks.accounting import use
+
+_START_MS: typing.Final = 20_791 * report.DAY_MS
+_MINUTE_MS: typing.Final = 60_000
+_HOUR_MS: typing.Final = 60 * _MINUTE_MS
+_GUARANTEED: typing.Final = {'north': 16, 'south': 16}
+_UNGUARANTEED: typing.Final = 16
+
+
+def build() -> report.Report:
+    """Return the account of one day of 48 accelerators in two teams."""
+    account = ledger.Ledger('amman-north', _START_MS)
+    # From 00:00: north runs 16 on its guarantee; the rest is idle.
+    _set_running(account, {('north', 'plan'): 16}, hour=0)
+    # From 06:00: north runs 40, thus 16 borrowed and 8 lent by south.
+    _set_running(account, {('north', 'plan'): 40}, hour=6)
+    # At 10:00 south needs 16; 8 must be given back, which takes 2 minutes.
+    lent = use.running('north', 'plan', 'south')
+    handed_back = use.Use(use.Category.RECLAIMED, 'north', 'plan', 'south')
+    at_ms = _START_MS + 10 * _HOUR_MS
+    account.change(lent, handed_back, 8, at_ms)
+    _record(account, at_ms, 'WAITING', 'south', 'guarantee is reclaimed')
+    at_ms += 2 * _MINUTE_MS
+    running = {('north', 'plan'): 32, ('south', 'chime'): 16}
+    account.reconcile(
+        attribution.attribute(running, _GUARANTEED, _UNGUARANTEED),
+        at_ms,
+    )
+    _record(account, at_ms, 'PLACED', 'south', 'fits its guarantee')
+    # At 14:00 a worker of 8 fails with 30 minutes that were not saved.
+    at_ms = _START_MS + 14 * _HOUR_MS
+    failed = use.running('north', 'plan', '')
+    account.mark_lost(failed, 8 * 30 * _MINUTE_MS, at_ms)
+    account.change(failed, use.Use(use.Category.LOST), 8, at_ms)
+    # From 15:00 it is up again but fails every task; from 18:00 north runs
+    # nothing more, and 4 free accelerators are too scattered.
+    account.change(
+        use.Use(use.Category.LOST),
+        use.Use(use.Category.QUARANTINED),
+        8,
+        at_ms + _HOUR_MS,
+    )
+    at_ms = _START_MS + 18 * _HOUR_MS
+    idle = use.Use(use.Category.IDLE)
+    scattered = use.Use(use.Category.IDLE_SCATTERED)
+    own = use.running('north', 'plan', 'north')
+    account.change(own, idle, 16, at_ms)
+    account.change(failed, idle, 4, at_ms)
+    account.change(failed, scattered, 4, at_ms)
+    _record(account, at_ms, 'REFUSED', 'north', 'never fits')
+    return account.take_closed(_START_MS + report.DAY_MS)[0]
+
+
+def _set_running(
+    account: ledger.Ledger,
+    running: dict[attribution.TeamClass, int],
+    *,
+    hour: int,
+) -> None:
+    counts = attribution.attribute(running, _GUARANTEED, _UNGUARANTEED)
+    free = 48 - sum(running.values())
+    account.reconcile(
+        counts | {use.Use(use.Category.IDLE): free},
+        _START_MS + hour * _HOUR_MS,
+    )
+
+
+def _record(
+    account: ledger.Ledger,
+    at_ms: int,
+    kind: str,
+    team: str,
+    reason: str,
+) -> None:
+    account.record(
+        report.Decision(
+            at_ms,
+            report.DecisionKind[kind],
+            f'job-{team}',
+            team,
+            'plan' if team == 'north' else 'chime',
+            reason,
+        )
+    )
+
+
+def text(account: report.Report) -> str:
+    """Return the tables that docs/account.md shows."""
+    parts = [table.render(account, name) for name in ('category', 'team')]
+    return '\n'.join([*parts, table.render_reasons(account)])
+
+
+def main(
+    path: typing.Annotated[typing.Optional[pathlib.Path],
+                           typer.Argument()] = None,
+) -> None:
+    """Print the tables, or write the page."""
+    account = build()
+    if path is None:
+        typer.echo(text(account), nl=False)
+    else:
+        path.write_text(page.render(account), encoding='utf-8')
+
+
+if __name__ == '__main__':
+    typer.run(main)
+
+__all__ = ('build', 'main', 'text')
