accounting: correct type annotations found by mypy

Ruled out: wider types; the ids would no longer be told apart. Change: ids are built as such; a local variable in page.py has its own name. Conclusion: no change of behaviour.

--- a/src/nutmegworks/accounting/accrual.py
+++ b/src/nutmegworks/accounting/accrual.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 from nutmegworks.accounting import use
+from nutmegworks.model import ids
 
 
 class Balance:
@@ -34,13 +35,15 @@
 
 def coarser(item: use.Use) -> list[use.Use]:
     """Return a use and coarser ones of the same category."""
-    lender = use.OTHERS if item.lender_id else ''
-    team = use.OTHERS if item.team_id else ''
+    others = ids.TeamId(use.OTHERS)
+    nobody = ids.TeamId('')
+    lender = others if item.lender_id else nobody
+    team = others if item.team_id else nobody
     category = item.category
     coarser = [
         item,
         use.Use(category, item.team_id, item.class_id, lender),
-        use.Use(category, team, '', lender),
+        use.Use(category, team, ids.ClassId(''), lender),
     ]
     return list(dict.fromkeys(coarser))
 
--- a/src/nutmegworks/accounting/example.py
+++ b/src/nutmegworks/accounting/example.py
@@ -16,11 +16,17 @@
 from nutmegworks.accounting import report
 from nutmegworks.accounting import table
 from nutmegworks.accounting import use
+from nutmegworks.model import ids
 
 _START_MS: typing.Final = 20_791 * report.DAY_MS
 _MINUTE_MS: typing.Final = 60_000
 _HOUR_MS: typing.Final = 60 * _MINUTE_MS
-_GUARANTEED: typing.Final = {'north': 16, 'south': 16}
+_NORTH: typing.Final = ids.TeamId('north')
+_SOUTH: typing.Final = ids.TeamId('south')
+_NOBODY: typing.Final = ids.TeamId('')
+_PLAN: typing.Final = ids.ClassId('plan')
+_CHIME: typing.Final = ids.ClassId('chime')
+_GUARANTEED: typing.Final = {_NORTH: 16, _SOUTH: 16}
 _UNGUARANTEED: typing.Final = 16
 
 
@@ -28,25 +34,25 @@
     """Return the account of one day of 48 accelerators in two teams."""
     account = ledger.Ledger('amman-north', _START_MS)
     # From 00:00: north runs 16 on its guarantee; the rest is idle.
-    _set_running(account, {('north', 'plan'): 16}, hour=0)
+    _set_running(account, {(_NORTH, _PLAN): 16}, hour=0)
     # From 06:00: north runs 40, thus 16 borrowed and 8 lent by south.
-    _set_running(account, {('north', 'plan'): 40}, hour=6)
+    _set_running(account, {(_NORTH, _PLAN): 40}, hour=6)
     # At 10:00 south needs 16; 8 must be given back, which takes 2 minutes.
-    lent = use.running('north', 'plan', 'south')
-    handed_back = use.Use(use.Category.RECLAIMED, 'north', 'plan', 'south')
+    lent = use.running(_NORTH, _PLAN, _SOUTH)
+    handed_back = use.Use(use.Category.RECLAIMED, _NORTH, _PLAN, _SOUTH)
     at_ms = _START_MS + 10 * _HOUR_MS
     account.change(lent, handed_back, 8, at_ms)
-    _record(account, at_ms, 'WAITING', 'south', 'guarantee is reclaimed')
+    _record(account, at_ms, 'WAITING', _SOUTH, 'guarantee is reclaimed')
     at_ms += 2 * _MINUTE_MS
-    running = {('north', 'plan'): 32, ('south', 'chime'): 16}
+    running = {(_NORTH, _PLAN): 32, (_SOUTH, _CHIME): 16}
     account.reconcile(
         attribution.attribute(running, _GUARANTEED, _UNGUARANTEED),
         at_ms,
     )
-    _record(account, at_ms, 'PLACED', 'south', 'fits its guarantee')
+    _record(account, at_ms, 'PLACED', _SOUTH, 'fits its guarantee')
     # At 14:00 a worker of 8 fails with 30 minutes that were not saved.
     at_ms = _START_MS + 14 * _HOUR_MS
-    failed = use.running('north', 'plan', '')
+    failed = use.running(_NORTH, _PLAN, _NOBODY)
     account.mark_lost(failed, 8 * 30 * _MINUTE_MS, at_ms)
     account.change(failed, use.Use(use.Category.LOST), 8, at_ms)
     # From 15:00 it is up again but fails every task; from 18:00 north runs
@@ -60,11 +66,11 @@
     at_ms = _START_MS + 18 * _HOUR_MS
     idle = use.Use(use.Category.IDLE)
     scattered = use.Use(use.Category.IDLE_SCATTERED)
-    own = use.running('north', 'plan', 'north')
+    own = use.running(_NORTH, _PLAN, _NORTH)
     account.change(own, idle, 16, at_ms)
     account.change(failed, idle, 4, at_ms)
     account.change(failed, scattered, 4, at_ms)
-    _record(account, at_ms, 'REFUSED', 'north', 'never fits')
+    _record(account, at_ms, 'REFUSED', _NORTH, 'never fits')
     return account.take_closed(_START_MS + report.DAY_MS)[0]
 
 
@@ -86,16 +92,16 @@
     account: ledger.Ledger,
     at_ms: int,
     kind: str,
-    team: str,
+    team: ids.TeamId,
     reason: str,
 ) -> None:
     account.record(
         report.Decision(
             at_ms,
             report.DecisionKind[kind],
-            f'job-{team}',
+            ids.JobId(f'job-{team}'),
             team,
-            'plan' if team == 'north' else 'chime',
+            _PLAN if team == _NORTH else _CHIME,
             reason,
         )
     )
--- a/src/nutmegworks/accounting/ledger.py
+++ b/src/nutmegworks/accounting/ledger.py
@@ -10,6 +10,7 @@
 from nutmegworks.accounting import accrual
 from nutmegworks.accounting import report
 from nutmegworks.accounting import use
+from nutmegworks.model import ids
 
 # 1,100 teams and 10 classes in two categories, and 2,000 for lenders.
 MAX_ROWS: typing.Final = 24_000
@@ -135,7 +136,7 @@
         key = (decision.kind, decision.class_id, decision.reason)
         if len(self._count_by_reason) >= MAX_REASONS:
             if key not in self._count_by_reason:
-                key = (decision.kind, use.OTHERS, use.OTHERS)
+                key = (decision.kind, ids.ClassId(use.OTHERS), use.OTHERS)
         self._count_by_reason[key] += 1
 
     def count(self, item: use.Use) -> int:
--- a/src/nutmegworks/accounting/page.py
+++ b/src/nutmegworks/accounting/page.py
@@ -166,8 +166,8 @@
     ]
     rest = sums.keys() - set(shown)
     if rest:
-        spent = sum(sums[name] for name in rest)
-        rows.append([f'{len(rest)} others', '', table.hours(spent)])
+        left = sum(sums[name] for name in rest)
+        rows.append([f'{len(rest)} others', '', table.hours(left)])
     return markup.table([title, 'by use', 'hours'], rows, numeric=1)
 
 
--- a/src/nutmegworks/accounting/report.py
+++ b/src/nutmegworks/accounting/report.py
@@ -17,6 +17,8 @@
 # Fast compression: names repeat, so a higher level gains little.
 _COMPRESSION_LEVEL: typing.Final = 1
 
+ReasonKey = tuple[int, 'DecisionKind', ids.ClassId, str]
+
 
 class MergeError(ValueError):
     """Two reports cover the same time of the same source."""
@@ -166,7 +168,7 @@
 
 
 def make_reasons(
-    counts: typing.Mapping[tuple, int],
+    counts: typing.Mapping[ReasonKey, int],
 ) -> tuple[ReasonCount, ...]:
     """Return counts of reasons, the most frequent first."""
     items = [ReasonCount(*key, count) for key, count in counts.items()]
@@ -225,6 +227,7 @@
     'MergeError',
     'Part',
     'ReasonCount',
+    'ReasonKey',
     'Report',
     'Row',
     'latest',
--- a/src/nutmegworks/policy/evidence.py
+++ b/src/nutmegworks/policy/evidence.py
@@ -92,8 +92,8 @@
         """Return the number of jobs whose failure speaks against a worker."""
         confirmed = 0
         unconfirmed_by_team: collections.Counter = collections.Counter()
-        failures = self._failures_by_worker.get(worker_id, {})
-        for job_id, team_id in failures.items():
+        failures = self._failures_by_worker.get(worker_id)
+        for job_id, team_id in failures.items() if failures else ():
             job = self._job_by_id.get(job_id)
             if job is None:
                 continue
