standins: process cluster and a TCP relay

Cause: the demo and runs with faults need the same processes as the tests, and connections that go silent or are cut. Change: standins/cluster.py (moved from tests), standins/relay.py. Conclusion: faults between processes can be injected on loopback.

--- a/tests/processes.py
+++ b/standins/cluster.py
@@ -1,4 +1,4 @@
-"""Starts daemons and stand-ins as processes of a test."""
+"""Starts daemons and stand-ins as processes, for tests and for the demo."""
 from __future__ import annotations
 
 import contextlib
--- /dev/null
+++ b/standins/relay.py
@@ -0,0 +1,133 @@
+"""Relays TCP connections and cuts or silences them on command."""
+from __future__ import annotations
+
+import contextlib
+import enum
+import signal
+import typing
+
+import curio
+import curio.socket
+import msgspec
+import typer
+
+from nutmegworks.net import message
+from nutmegworks.net import server
+from nutmegworks.net import signals
+
+CHUNK_BYTES: typing.Final = 65536
+
+
+class Mode(enum.Enum):
+    """What happens to connections.
+
+    SILENT swallows what open connections send; new ones work. CUT closes
+    open connections and refuses new ones.
+    """
+
+    PASS = 'pass'
+    SILENT = 'silent'
+    CUT = 'cut'
+
+
+class _Command(msgspec.Struct):
+    mode: Mode
+
+
+class Relay:
+    """Relays to one address."""
+
+    def __init__(self, target: tuple[str, int]) -> None:
+        self._target = target
+        self._mode = Mode.PASS
+        self._silenced: set[int] = set()
+        self._open: dict[int, tuple[curio.io.Socket, curio.io.Socket]] = {}
+        self._count = 0
+
+    async def control(self, request: message.Request) -> message.Response:
+        """Serve ``POST /fault`` with ``{"mode": ...}``."""
+        self._mode = msgspec.json.decode(request.body, type=_Command).mode
+        if self._mode is Mode.SILENT:
+            self._silenced.update(self._open)
+        if self._mode is Mode.CUT:
+            for pair in list(self._open.values()):
+                for sock in pair:
+                    _shut_down(sock)
+        return message.json_response(200, {})
+
+    async def serve(self, sock: curio.io.Socket) -> None:
+        """Relay one connection."""
+        if self._mode is Mode.CUT:
+            await sock.close()
+            return
+        try:
+            upstream = await curio.open_connection(*self._target)
+        except OSError:
+            await sock.close()
+            return
+        self._count += 1
+        number = self._count
+        self._open[number] = (sock, upstream)
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(self._pump, number, sock, upstream)
+            await group.spawn(self._pump, number, upstream, sock)
+        self._open.pop(number, None)
+        self._silenced.discard(number)
+        await sock.close()
+        await upstream.close()
+
+    async def _pump(
+        self,
+        number: int,
+        source: curio.io.Socket,
+        sink: curio.io.Socket,
+    ) -> None:
+        try:
+            while data := await source.recv(CHUNK_BYTES):
+                if self._mode is Mode.CUT:
+                    return
+                if number not in self._silenced:
+                    await sink.sendall(data)
+        except OSError:
+            return
+
+
+def _shut_down(sock: curio.io.Socket) -> None:
+    with contextlib.suppress(OSError), sock.blocking() as plain:
+        plain.shutdown(curio.socket.SHUT_RDWR)
+
+
+async def _run(target: tuple[str, int]) -> None:
+    relay = Relay(target)
+    listener = curio.socket.socket()
+    listener.bind(('127.0.0.1', 0))
+    listener.listen(256)
+    control = server.Server(relay.control)
+    await control.start('127.0.0.1', 0)
+    here = listener.getsockname()
+    print(
+        f'{here[0]}:{here[1]} {control.address[0]}:{control.address[1]}',
+        flush=True
+    )
+    async with signals.SignalReceiver(signal.SIGTERM) as received:
+        task = await curio.spawn(_accept, relay, listener, daemon=True)
+        await received.get()
+        await task.cancel()
+
+
+async def _accept(relay: Relay, listener: curio.io.Socket) -> None:
+    while True:
+        sock, _ = await listener.accept()
+        await curio.spawn(relay.serve, sock, daemon=True)
+
+
+def main(target: str) -> None:
+    """Relay to ``ip:port``; print the addresses of relay and control."""
+    host, _, port = target.rpartition(':')
+    curio.run(_run, (host, int(port)))
+
+
+if __name__ == '__main__':
+    typer.run(main)
+
+__all__ = ('Mode', 'Relay', 'main')
--- a/tests/cli/test_main.py
+++ b/tests/cli/test_main.py
@@ -7,7 +7,7 @@
 
 from nutmegworks.cli import client
 from nutmegworks.cli import main
-from tests import processes
+from standins import cluster as processes
 
 
 def _run(address: str, *arguments: str, token: str = '') -> testing.Result:
--- a/tests/daemon/test_path.py
+++ b/tests/daemon/test_path.py
@@ -3,7 +3,7 @@
 import json
 import pathlib
 
-from tests import processes
+from standins import cluster as processes
 
 PATH = '/v1/services/round-planner/requests'
 
--- a/tests/daemon/test_stop.py
+++ b/tests/daemon/test_stop.py
@@ -6,7 +6,7 @@
 import threading
 import time
 
-from tests import processes
+from standins import cluster as processes
 
 PATH = '/v1/services/round-planner/requests'
 HEADERS = {
