--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Sample settings of both deployments and a demonstration of them."""
