--- a/src/nutmegworks/cli/main.py
+++ b/src/nutmegworks/cli/main.py
@@ -8,6 +8,7 @@
 from nutmegworks.cli import classes
 from nutmegworks.cli import client
 from nutmegworks.cli import config
+from nutmegworks.cli import jobs
 from nutmegworks.cli import output
 from nutmegworks.cli import session
 from nutmegworks.cli import teams
@@ -20,6 +21,8 @@
 app.add_typer(teams.app, name='team')
 app.add_typer(teams.guarantees, name='guarantee')
 app.add_typer(config.app, name='config')
+app.add_typer(jobs.app, name='job')
+app.command('explain')(jobs.explain)
 
 
 @app.callback()
