net: one silent idle connection retires the others to its address

Cause: a device that loses its state silences all idle connections at once; each cost its own timeout (1 s each to the store). Ruled out: a shorter timeout, which would blame slow answers. Change: a failure on a reused connection closes all idle ones to the address. Measured: tests/net/test_client.py, the new test failed before (3 connections left idle) and passes. Conclusion: the time lost is one timeout for an address.

--- a/src/nutmegworks/net/pool.py
+++ b/src/nutmegworks/net/pool.py
@@ -65,6 +65,10 @@
             max_body=max_body,
             echo=echo,
         )
+        if isinstance(answer, result.Err) and connection.exchanges:
+            # What silenced or closed this idle connection is likely to have
+            # met the others as well; each would cost another timeout.
+            await self.discard(address)
         await self._give_back(connection)
         return answer
 
@@ -89,6 +93,12 @@
         if len(idle) > MAX_IDLE_PER_ADDRESS:
             await idle.popleft()[1].close()
 
+    async def discard(self, address: client.Address) -> None:
+        """Close all idle connections to one address."""
+        idle = self._idle_by_address.pop(address, None)
+        while idle:
+            await idle.pop()[1].close()
+
     async def retire(self) -> None:
         """Close every connection that has been idle for too long."""
         limit = self._clock() - self._idle_seconds
@@ -101,10 +111,8 @@
 
     async def close(self) -> None:
         """Close every idle connection."""
-        for idle in self._idle_by_address.values():
-            while idle:
-                await idle.pop()[1].close()
-        self._idle_by_address.clear()
+        for address in list(self._idle_by_address):
+            await self.discard(address)
 
 
 __all__ = ('IDLE_SECONDS', 'MAX_IDLE_PER_ADDRESS', 'Pool')
--- a/tests/net/test_client.py
+++ b/tests/net/test_client.py
@@ -140,3 +140,37 @@
             assert not connections._idle_by_address
 
     helpers.run(main)
+
+
+def test_silent_idle_connections_cost_one_timeout() -> None:
+    """Several silenced connections must not cost a timeout each."""
+    silent = False
+    used: set[str] = set()
+
+    async def handler(request: message.Request) -> message.Response:
+        if silent and request.headers[ID] in used:
+            await curio.sleep(9.0)
+        await curio.sleep(0.05)
+        return message.Response(200, {}, b'')
+
+    async def main() -> None:
+        nonlocal silent
+        async with helpers.serving(handler) as address:
+            connections = pool.Pool()
+
+            async def call(request_id: str) -> bool:
+                answer = await connections.exchange(
+                    address, _request(request_id), timeout=0.3
+                )
+                return bool(answer.is_ok())
+
+            async with curio.TaskGroup() as group:
+                for number in range(4):
+                    await group.spawn(call, str(number))
+            assert len(connections._idle_by_address[address]) == 4
+            used.add('late')
+            silent = True
+            assert not await call('late')
+            assert not connections._idle_by_address.get(address)
+
+    helpers.run(main)
