claims: model for the checker; a late attempt claims no more

Ruled out: closing the key after DID_NOT_RUN (callers could not retry with the same key); MAY_HAVE_RUN for all retries (true, but useless to callers). Change: a claim keeps the caller's attempt number; only a higher number claims a key again after DID_NOT_RUN. claim() and outcome() take attempt_number instead of first_attempt. specs/claims.py with eleven broken variants. All eleven broken variants are refuted. tests/claims passes. Conclusion: entry/ has to pass the number of Nutmeg-Attempt.

--- a/src/nutmegworks/claims/record.py
+++ b/src/nutmegworks/claims/record.py
@@ -15,6 +15,7 @@
 from nutmegworks.claims import key as claim_key
 
 MAX_ATTEMPT_ID_LENGTH: typing.Final = 32
+MAX_ATTEMPT_NUMBER: typing.Final = 2**31
 MAX_INCARNATION_LENGTH: typing.Final = 32
 BODY_DIGEST_BYTES: typing.Final = 16
 # The largest encoding of one claim with its id and its outcome.
@@ -63,12 +64,15 @@
     """The one claim of a key.
 
     :param attempt_id: random id of the attempt that may send the request.
+    :param attempt_number: the caller's count of its attempts, from 1; 0 if
+        the caller does not count.
     :param body_digest: digest of the request body.
     """
 
     state: State
     attempt_id: str
     body_digest: bytes
+    attempt_number: int = 0
     answer: AnswerRef | None = None
 
 
@@ -86,6 +90,7 @@
     key_id: bytes
     attempt_id: str
     body_digest: bytes
+    attempt_number: int = 0
 
 
 class FinishOperation(msgspec.Struct, frozen=True, tag='finish'):
@@ -161,6 +166,7 @@
         State.CLAIMED,
         operation.attempt_id,
         operation.body_digest,
+        operation.attempt_number,
     )
     return result.Ok(_with_claim(current, operation.key_id, granted))
 
@@ -178,9 +184,10 @@
         return Reply(Status.IN_PROGRESS, held)
     if held.state is not State.DID_NOT_RUN:
         return Reply(Status.FINISHED, held)
-    if held.attempt_id == operation.attempt_id:
-        # A delayed copy of a claim whose attempt has ended would hold the
-        # key for an attempt that nobody sends.
+    if operation.attempt_number <= held.attempt_number:
+        # An attempt that was delayed on its way must not run after a later
+        # one was refused as "did not run"; nor may a delayed copy of an
+        # ended attempt hold the key.
         return Reply(Status.ATTEMPT_OVER, held)
     return None
 
@@ -205,6 +212,7 @@
         operation.state,
         held.attempt_id,
         held.body_digest,
+        held.attempt_number,
         operation.answer,
     )
     return result.Ok(_with_claim(record, operation.key_id, finished))
@@ -249,6 +257,8 @@
     if not attempt_id.isascii() or len(attempt_id) > MAX_ATTEMPT_ID_LENGTH:
         return False
     if isinstance(operation, ClaimOperation):
+        if not 0 <= operation.attempt_number <= MAX_ATTEMPT_NUMBER:
+            return False
         return len(operation.body_digest) == BODY_DIGEST_BYTES
     answer = operation.answer
     return answer is None or (
@@ -288,6 +298,7 @@
     'FinishOperation',
     'LookOperation',
     'MAX_ATTEMPT_ID_LENGTH',
+    'MAX_ATTEMPT_NUMBER',
     'MAX_CLAIMS',
     'MAX_CLAIM_BYTES',
     'MAX_INCARNATION_LENGTH',
--- a/src/nutmegworks/claims/replies.py
+++ b/src/nutmegworks/claims/replies.py
@@ -43,11 +43,6 @@
     ),
     record.Status.KEY_REUSED:
     KEY_REUSED,
-    record.Status.ATTEMPT_OVER:
-    verdict.may_have_run(
-        verdict.Reason.CONFLICT,
-        'this attempt has ended',
-    ),
     # No key is dropped from a full record or added to it, so a key that it
     # lacks was never claimed.
     record.Status.FULL:
@@ -78,8 +73,13 @@
 }
 
 
-def refusal(reply: record.Reply, first_attempt: bool) -> verdict.Refusal:
-    """Return the refusal for a claim that was not granted."""
+def refusal(reply: record.Reply, attempt_number: int) -> verdict.Refusal:
+    """Return the refusal for a claim that was not granted.
+
+    :param attempt_number: the caller's count from 1; 0 if it does not count.
+    """
+    if reply.status is record.Status.ATTEMPT_OVER:
+        return _attempt_over(reply.claim, attempt_number)
     known = _REFUSAL_BY_STATUS.get(reply.status)
     if known is not None:
         return known
@@ -89,14 +89,30 @@
     )
     # Another attempt can have run only if there was one. A write that may
     # yet take effect leaves the key claimed.
-    never_ran = first_attempt and not reply.write_sent
+    never_ran = attempt_number == 1 and not reply.write_sent
     state = verdict.did_not_run if never_ran else verdict.may_have_run
     return state(reason, detail, retry_after=retry_after)
 
 
-def ahead(first_attempt: bool) -> verdict.Refusal:
+def _attempt_over(
+    held: record.Claim | None,
+    attempt_number: int,
+) -> verdict.Refusal:
+    # A later attempt may have run since, unless the caller counts none: then
+    # nobody can claim the key again.
+    uncounted = attempt_number == 0 and held and held.attempt_number == 0
+    state = verdict.did_not_run if uncounted else verdict.may_have_run
+    return state(
+        verdict.Reason.CONFLICT,
+        'an attempt with this key has ended; use a new key, or a higher '
+        'number of the attempt',
+    )
+
+
+def ahead(attempt_number: int) -> verdict.Refusal:
     """Return the refusal for a key whose epoch is ahead of the clock."""
-    state = verdict.did_not_run if first_attempt else verdict.may_have_run
+    first = attempt_number == 1
+    state = verdict.did_not_run if first else verdict.may_have_run
     return state(
         verdict.Reason.BAD_REQUEST, "the key's epoch lies in the future"
     )
--- a/src/nutmegworks/claims/service.py
+++ b/src/nutmegworks/claims/service.py
@@ -94,7 +94,7 @@
         team_id: ids.TeamId,
         body_digest: bytes,
         *,
-        first_attempt: bool,
+        attempt_number: int,
         timeout: float = CLAIM_TIMEOUT_SECONDS,
     ) -> Outcome:
         """Claim a key for a new attempt.
@@ -102,14 +102,16 @@
         The refusal IN_PROGRESS means that another attempt holds the key.
 
         :param body_digest: 16 bytes, see ``record.BODY_DIGEST_BYTES``.
-        :param first_attempt: whether the caller has never sent this key.
+        :param attempt_number: the caller's count of its attempts with this
+            key, from 1; 0 if it does not count. Only a higher number may
+            claim a key again whose attempt did not run.
         :param timeout: seconds.
         """
-        parsed = self._parse(key, team_id, first_attempt)
+        parsed = self._parse(key, team_id, attempt_number)
         if isinstance(parsed, result.Err):
             return parsed
         return await self._claim(
-            parsed.ok_value, body_digest, first_attempt, timeout
+            parsed.ok_value, body_digest, attempt_number, timeout
         )
 
     async def outcome(
@@ -118,15 +120,17 @@
         team_id: ids.TeamId,
         body_digest: bytes,
         *,
+        attempt_number: int,
         timeout: float,
     ) -> Outcome:
         """Wait for the outcome of a key that another attempt holds.
 
         The key is claimed for a new attempt if the other one did not run.
 
+        :param attempt_number: as for ``claim``.
         :param timeout: seconds until the caller's deadline.
         """
-        parsed = self._parse(key, team_id, False)
+        parsed = self._parse(key, team_id, attempt_number)
         if isinstance(parsed, result.Err):
             return parsed
         deadline = self._clock() + timeout
@@ -142,10 +146,13 @@
                 return result.Err(replies.KEY_REUSED)
             if replies.is_free(reply):
                 return await self._claim(
-                    parsed.ok_value, body_digest, False, left - pause
+                    parsed.ok_value,
+                    body_digest,
+                    attempt_number,
+                    left - pause,
                 )
             if replies.is_settled(reply):
-                return await self._conclude(reply, '', False)
+                return await self._conclude(reply, '', attempt_number)
 
     async def finish(
         self,
@@ -202,7 +209,7 @@
         self,
         key: str,
         team_id: ids.TeamId,
-        first_attempt: bool,
+        attempt_number: int,
     ) -> result.Result[claim_key.Key, verdict.Refusal]:
         parsed = claim_key.parse(key, team_id)
         if isinstance(parsed, result.Err):
@@ -213,14 +220,14 @@
                 )
             )
         if claim_key.is_ahead(parsed.ok_value.epoch, self._wall_clock()):
-            return result.Err(replies.ahead(first_attempt))
+            return result.Err(replies.ahead(attempt_number))
         return parsed
 
     async def _claim(
         self,
         key: claim_key.Key,
         body_digest: bytes,
-        first_attempt: bool,
+        attempt_number: int,
         timeout: float,
     ) -> Outcome:
         # An attempt id is never used for a second call: the release of the
@@ -231,9 +238,10 @@
             key.key_id,
             secrets.token_hex(16),
             body_digest,
+            attempt_number,
         )
         if not record.is_valid(operation):
-            raise ValueError('the body digest has a wrong size')
+            raise ValueError('the body digest or the number is out of bounds')
         try:
             reply = await self._submit(operation, timeout)
         except curio.CancelledError:
@@ -241,7 +249,9 @@
             raise
         if reply.write_sent and reply.status is not record.Status.GRANTED:
             await self._release(operation)
-        return await self._conclude(reply, operation.attempt_id, first_attempt)
+        return await self._conclude(
+            reply, operation.attempt_id, attempt_number
+        )
 
     async def _submit(
         self,
@@ -304,7 +314,7 @@
         self,
         reply: record.Reply,
         attempt_id: str,
-        first_attempt: bool,
+        attempt_number: int,
     ) -> Outcome:
         if reply.status is record.Status.GRANTED:
             return result.Ok(Granted(ids.AttemptId(attempt_id)))
@@ -312,7 +322,7 @@
         ran = held is not None and held.state is record.State.RAN
         if reply.status is record.Status.FINISHED and ran:
             return await self._read_answer(held)
-        return result.Err(replies.refusal(reply, first_attempt))
+        return result.Err(replies.refusal(reply, attempt_number))
 
     async def _read_answer(self, held: record.Claim) -> Outcome:
         if held.answer is None:
--- a/tests/claims/operations.py
+++ b/tests/claims/operations.py
@@ -6,9 +6,13 @@
 EPOCH = 176_000_000
 
 
-def claim_operation(attempt_id='a', epoch=EPOCH, number=0, body=b'b' * 16):
+def claim_operation(
+    attempt_id='a', epoch=EPOCH, number=0, body=b'b' * 16, attempt_number=1
+):
     key_id = number.to_bytes(16, 'big')
-    return record.ClaimOperation(epoch, 0, key_id, attempt_id, body)
+    return record.ClaimOperation(
+        epoch, 0, key_id, attempt_id, body, attempt_number
+    )
 
 
 def finish_operation(state, attempt_id='a', epoch=EPOCH, answer=None):
--- a/tests/claims/test_record.py
+++ b/tests/claims/test_record.py
@@ -32,7 +32,8 @@
     done = record.finish(
         operations.claimed(), operations.finish_operation(state)
     ).unwrap()
-    after, reply = record.apply(done, operations.claim_operation('b'))
+    operation = operations.claim_operation('b', attempt_number=2)
+    after, reply = record.apply(done, operation)
     assert reply.status is status
     late, refused = record.apply(
         after, operations.finish_operation(state, 'c')
@@ -40,12 +41,17 @@
     assert (late, refused.status) == (after, record.Status.NOT_HOLDER)
 
 
-def test_ended_attempt_claims_no_more() -> None:
-    """A delayed copy of a claim must not hold a key that nobody sends."""
-    operation = operations.finish_operation(record.State.DID_NOT_RUN)
-    done = record.finish(operations.claimed(), operation).unwrap()
-    again = record.claim(done, operations.claim_operation('a'))
-    assert again.err_value.status is record.Status.ATTEMPT_OVER
+@pytest.mark.parametrize('ended, late', ((1, 1), (2, 1), (0, 0), (1, 0)))
+def test_late_attempt_claims_no_more(ended, late) -> None:
+    """An attempt must not run after a later one was told "did not run"."""
+    operation = operations.claim_operation('a', attempt_number=ended)
+    held = record.claim(record.empty(0), operation).unwrap()
+    done = record.finish(
+        held, operations.finish_operation(record.State.DID_NOT_RUN)
+    ).unwrap()
+    operation = operations.claim_operation('b', attempt_number=late)
+    refused = record.claim(done, operation)
+    assert refused.err_value.status is record.Status.ATTEMPT_OVER
 
 
 def test_record_never_returns_to_a_lower_epoch() -> None:
@@ -71,6 +77,7 @@
         record.State.RAN,
         'a' * record.MAX_ATTEMPT_ID_LENGTH,
         b'b' * record.BODY_DIGEST_BYTES,
+        record.MAX_ATTEMPT_NUMBER,
         answer,
     )
     full = record.Record(
@@ -95,6 +102,8 @@
     assert record.is_valid(operations.claim_operation())
     assert not record.is_valid(operations.claim_operation('a' * 33))
     assert not record.is_valid(operations.claim_operation(body=b'b' * 17))
+    operation = operations.claim_operation(attempt_number=2**31 + 1)
+    assert not record.is_valid(operation)
     answer = record.AnswerRef('i' * 33, 0, 0)
     state = record.State.RAN
     assert not record.is_valid(
--- a/tests/claims/test_service.py
+++ b/tests/claims/test_service.py
@@ -66,8 +66,15 @@
 
 
 async def claim(daemon, *, first=True, text=KEY, timeout=1.0):
+    number = 1 if first else 2
     return await daemon.claim(
-        text, 'north', BODY, first_attempt=first, timeout=timeout
+        text, 'north', BODY, attempt_number=number, timeout=timeout
+    )
+
+
+async def wait(daemon, body=BODY, timeout=2.0):
+    return await daemon.outcome(
+        KEY, 'north', body, attempt_number=2, timeout=timeout
     )
 
 
@@ -86,13 +93,11 @@
         granted = await claim(one)
         refused = await claim(two, first=False)
         assert refused.err_value.reason is verdict.Reason.IN_PROGRESS
-        waiting = await curio.spawn(
-            lambda: two.outcome(KEY, 'north', BODY, timeout=2.0)
-        )
+        waiting = await curio.spawn(lambda: wait(two, BODY, 2.0))
         assert await finish(one, granted, record.State.RAN, kept)
         for outcome in (await waiting.join(), await claim(two, first=False)):
             assert outcome.ok_value == service.Finished(kept)
-        other = await two.outcome(KEY, 'north', b'x' * 16, timeout=1.0)
+        other = await wait(two, b'x' * 16, 1.0)
         assert other.err_value.reason is verdict.Reason.KEY_REUSED
 
     run(scenario, forwarding=forwarding)
@@ -138,7 +143,7 @@
         unknown = await claim(one)
         assert unknown.err_value.verdict is MAY_HAVE_RUN
         backing.down = False
-        outcome = await two.outcome(KEY, 'north', BODY, timeout=2.0)
+        outcome = await wait(two, BODY, 2.0)
         assert isinstance(outcome.ok_value, service.Granted)
 
     run(scenario)
@@ -153,7 +158,7 @@
         await curio.sleep(0.03)
         await task.cancel()
         backing.delay = 0.0
-        outcome = await two.outcome(KEY, 'north', BODY, timeout=2.0)
+        outcome = await wait(two, BODY, 2.0)
         assert isinstance(outcome.ok_value, service.Granted)
 
     run(scenario)
@@ -168,9 +173,7 @@
         async with curio.TaskGroup() as group:
             for _ in range(50):
                 await curio.sleep(0.005)
-                await group.spawn(
-                    lambda: two.outcome(KEY, 'north', BODY, timeout=0.6)
-                )
+                await group.spawn(lambda: wait(two, BODY, 0.6))
         for refused in group.results:
             assert refused.err_value.reason is verdict.Reason.IN_PROGRESS
             assert refused.err_value.verdict is MAY_HAVE_RUN
--- /dev/null
+++ b/tests/specs/test_claims.py
@@ -0,0 +1,75 @@
+from __future__ import annotations
+
+import minicheck
+import pytest
+
+from nutmegworks.claims import batcher
+from nutmegworks.claims import record
+from nutmegworks.claims import service
+from nutmegworks.platform import store
+from nutmegworks.platform import upstreams
+from specs import claims
+
+Variant = claims.Variant
+OWNERS = (
+    batcher.Batcher,
+    service.ClaimService,
+    store.Store,
+    upstreams.UpstreamClient,
+)
+
+
+def check(variant, attempts):
+    model = claims.protocol(variant, attempts=attempts)
+    found = minicheck.check_safety(model, max_states=claims.MAX_STATES)
+    held = {name: item['holds'] for name, item in found['properties'].items()}
+    return found['reachable_states'], held
+
+
+@pytest.mark.parametrize('variant', (Variant.CORRECT, Variant.UNCOUNTED))
+def test_protocol_is_safe(variant) -> None:
+    """P4 and P5 must hold in every order of faults, races and pauses."""
+    states, held = check(variant, 3)
+    assert held == {'at_most_once': True, 'did_not_run_is_true': True}
+    # A model whose faults can't occur would hold as well.
+    assert states > 50_000
+
+
+@pytest.mark.parametrize(
+    'variant, broken, attempts', (
+        (Variant.WRITE_WITHOUT_REVISION, 'at_most_once', 2),
+        (Variant.SEND_UNCONFIRMED, 'at_most_once', 2),
+        (Variant.TAKE_OVER, 'at_most_once', 2),
+        (Variant.LOWER_EPOCH, 'at_most_once', 2),
+        (Variant.FINISH_OF_OTHERS, 'at_most_once', 3),
+        (Variant.ATTEMPT_ID_REUSED, 'at_most_once', 2),
+        (Variant.FAILURE_IS_NOT_RUN, 'at_most_once', 2),
+        (Variant.CLAIM_AFTER_FINISH, 'at_most_once', 2),
+        (Variant.RETRY_IS_FIRST, 'did_not_run_is_true', 2),
+        (Variant.IN_PROGRESS_IS_NOT_RUN, 'did_not_run_is_true', 2),
+        (Variant.LATE_ATTEMPT, 'did_not_run_is_true', 2),
+    )
+)
+def test_broken_protocol_is_refuted(variant, broken, attempts) -> None:
+    """A checker that accepts a broken rule would prove nothing."""
+    assert check(variant, attempts)[1][broken] is False
+
+
+def test_actions_are_named_after_code() -> None:
+    """A renamed function must not leave the model behind."""
+    model = claims.protocol(attempts=2)
+    seen = {model.initial}
+    waiting = [model.initial]
+    labels = set()
+    while waiting:
+        for label, state in model.transitions(waiting.pop()):
+            labels.add(label.split()[0])
+            if state not in seen:
+                seen.add(state)
+                waiting.append(state)
+    names = {owner.__name__: owner for owner in OWNERS}
+    names['record'] = record
+    assert len(labels) >= 11
+    for label in labels:
+        owner, _, name = label.partition('.')
+        assert hasattr(names[owner], name), label
