--- a/src/nutmegworks/daemon/compose.py
+++ b/src/nutmegworks/daemon/compose.py
@@ -167,6 +167,7 @@
         value = {
             'ready': ready,
             'stopping': self._stopping,
+            'incarnation': self._incarnation,
             'config_sequence': configuration.sequence if configuration else 0,
         }
         return message.json_response(200 if ready else 503, value)
--- a/src/nutmegworks/history/events.py
+++ b/src/nutmegworks/history/events.py
@@ -18,11 +18,13 @@
     """A caller sent one attempt of a request.
 
     :param key: names the logical request; its body contains the key.
+    :param daemon: the daemon it was sent to; empty if not known.
     """
 
     key: str
     attempt: str
     idempotent: bool
+    daemon: str = ''
 
 
 class RequestAnswered(
@@ -37,6 +39,8 @@
     :param body: the key that the response body belongs to; empty unless the
         request ran.
     :param whole: whether the body had its full length.
+    :param gave_up: whether the caller left before the deadline it had stated.
+    :param reason: the reason of a refusal; for reading, not for rules.
     """
 
     key: str
@@ -44,6 +48,8 @@
     verdict: str
     body: str = ''
     whole: bool = True
+    gave_up: bool = False
+    reason: str = ''
 
 
 class RequestExecuted(
@@ -126,9 +132,25 @@
         tag='configuration-accepted',
         kw_only=True,
 ):
-    """An operator was told that a change is accepted."""
+    """An operator was told that a change is accepted.
+
+    :param change: id of the change; empty if not known.
+    """
+
+    sequence: int
+    change: str = ''
+
+
+class ConfigurationKept(
+        _Event,
+        frozen=True,
+        tag='configuration-kept',
+        kw_only=True,
+):
+    """A change in the stored history at the end of a run."""
 
     sequence: int
+    change: str
 
 
 class ConfigurationObserved(
@@ -147,6 +169,40 @@
     sequence: int
 
 
+class DaemonImpaired(
+        _Event,
+        frozen=True,
+        tag='daemon-impaired',
+        kw_only=True,
+):
+    """A fault keeps a daemon from running or from reaching the store.
+
+    :param cause: several causes may be in force at once.
+    """
+
+    daemon: str
+    cause: str
+
+
+class DaemonRestored(
+        _Event,
+        frozen=True,
+        tag='daemon-restored',
+        kw_only=True,
+):
+    """One cause of impairment has ended; a restarted daemon is alive."""
+
+    daemon: str
+    cause: str
+
+
+class DaemonStopped(_Event, frozen=True, tag='daemon-stopped', kw_only=True):
+    """A daemon ended after a planned stop."""
+
+    daemon: str
+    exit_code: int
+
+
 class Disturbed(_Event, frozen=True, tag='disturbed', kw_only=True):
     """A fault was put in force, or lifted; for reading, not for rules."""
 
@@ -164,13 +220,21 @@
     JobEnded,
     TaskExecuted,
     ConfigurationAccepted,
+    ConfigurationKept,
     ConfigurationObserved,
+    DaemonImpaired,
+    DaemonRestored,
+    DaemonStopped,
     Disturbed,
 ]
 
 __all__ = (
     'ConfigurationAccepted',
+    'ConfigurationKept',
     'ConfigurationObserved',
+    'DaemonImpaired',
+    'DaemonRestored',
+    'DaemonStopped',
     'Disturbed',
     'Event',
     'JobAccepted',
--- a/src/nutmegworks/history/rules.py
+++ b/src/nutmegworks/history/rules.py
@@ -249,6 +249,122 @@
         highest[life] = max(before, event.sequence)
 
 
+class _Impairments:
+    """Which causes keep a daemon from working, as the history goes on."""
+
+    def __init__(self) -> None:
+        self._causes: dict[str, set[str]] = collections.defaultdict(set)
+        self._whole_since: dict[str, float] = {}
+
+    def follow(self, event: events.Event) -> None:
+        if isinstance(event, events.DaemonImpaired):
+            self._causes[event.daemon].add(event.cause)
+        elif isinstance(event, events.DaemonRestored):
+            self._causes[event.daemon].discard(event.cause)
+            self._whole_since[event.daemon] = event.at
+
+    def unimpaired_for(self, daemon: str, seconds: float, at: float) -> bool:
+        if self._causes[daemon]:
+            return False
+        return at - self._whole_since.get(daemon, 0.0) >= seconds
+
+
+def configuration_in_force_in_time(
+    history: History,
+) -> typing.Iterator[Violation]:
+    """An accepted configuration is in force on each unimpaired daemon.
+
+    The time counts from the acceptance or, if that is later, from the moment
+    at which the daemon's last impairment ended.
+    """
+    impairments = _Impairments()
+    accepted: list[tuple[float, int]] = []
+    for event in history:
+        impairments.follow(event)
+        if isinstance(event, events.ConfigurationAccepted):
+            accepted.append((event.at, event.sequence))
+        if not isinstance(event, events.ConfigurationObserved):
+            continue
+        if not impairments.unimpaired_for(event.daemon, CONFIGURATION_SECONDS,
+                                          event.at):
+            continue
+        due = event.at - CONFIGURATION_SECONDS
+        wanted = max((item for at, item in accepted if at <= due), default=0)
+        if event.sequence < wanted:
+            yield Violation(
+                'configuration in force', event.daemon,
+                f'{event.sequence} instead of {wanted} at {event.at:.3f}'
+            )
+
+
+def accepted_changes_are_kept(
+    history: History,
+) -> typing.Iterator[Violation]:
+    """The stored history has each accepted change once, at its sequence."""
+    kept = _of(history, events.ConfigurationKept)
+    sequences: dict[str, list[int]] = collections.defaultdict(list)
+    for item in kept:
+        sequences[item.change].append(item.sequence)
+    for event in _of(history, events.ConfigurationAccepted):
+        if kept and event.change:
+            if sequences[event.change] != [event.sequence]:
+                yield Violation(
+                    'accepted change kept', event.change,
+                    f'accepted as {event.sequence}, '
+                    f'stored as {sequences[event.change]}'
+                )
+
+
+def planned_stop_exits_cleanly(
+    history: History,
+) -> typing.Iterator[Violation]:
+    """A planned stop ends with exit code 0."""
+    for event in _of(history, events.DaemonStopped):
+        if event.exit_code != 0:
+            yield Violation(
+                'planned stop', event.daemon, f'exit code {event.exit_code}'
+            )
+
+
+# What may leave a request unanswered. A planned stop and trouble with the
+# store may not.
+_FATAL_CAUSES: typing.Final = frozenset({'killed', 'paused'})
+
+
+def every_request_is_answered(history: History) -> typing.Iterator[Violation]:
+    """A request gets a response unless its daemon is killed or paused.
+
+    Requests that the caller abandoned are not counted.
+    """
+    down: dict[str, set[str]] = collections.defaultdict(set)
+    open_at: dict[str, set[tuple[str, str]]] = collections.defaultdict(set)
+    daemon_of: dict[tuple[str, str], str] = {}
+    excused: set[tuple[str, str]] = set()
+    for event in history:
+        if isinstance(event, events.DaemonImpaired):
+            if event.cause in _FATAL_CAUSES:
+                down[event.daemon].add(event.cause)
+                excused |= open_at[event.daemon]
+        elif isinstance(event, events.DaemonRestored):
+            down[event.daemon].discard(event.cause)
+        elif isinstance(event, events.RequestSent) and event.daemon:
+            attempt = (event.key, event.attempt)
+            daemon_of[attempt] = event.daemon
+            open_at[event.daemon].add(attempt)
+            if down[event.daemon]:
+                excused.add(attempt)
+        elif isinstance(event, events.RequestAnswered):
+            attempt = (event.key, event.attempt)
+            daemon = daemon_of.get(attempt, '')
+            open_at[daemon].discard(attempt)
+            lost = not event.verdict and not event.gave_up
+            if daemon and lost and attempt not in excused:
+                yield Violation(
+                    'request answered', event.key,
+                    f'{daemon} sent no response: {event.reason}'
+                )
+
+
 RULES: typing.Final = (
     at_most_once,
     whole_own_answer,
@@ -258,6 +374,10 @@
     jobs_run_at_most_once,
     no_partial_gang,
     configuration_never_reverts,
+    configuration_in_force_in_time,
+    accepted_changes_are_kept,
+    planned_stop_exits_cleanly,
+    every_request_is_answered,
 )
 
 
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -91,6 +91,7 @@
     def __init__(self, directory: pathlib.Path) -> None:
         self.directory = directory
         self.daemon_by_address: dict[str, subprocess.Popen[bytes]] = {}
+        self._settings_by_address: dict[str, pathlib.Path] = {}
         self._processes: list[subprocess.Popen[bytes]] = []
         self._hosts: list[dict[str, str]] = []
         self.store = self.start_stand_in('store')
@@ -121,14 +122,39 @@
         assert process.stdout is not None
         return process.stdout.readline().decode().strip()
 
+    def start_relay(self, target: str) -> tuple[str, str]:
+        """Start a relay; return its address and that of its control."""
+        relayed, control = self.start_stand_in('relay', target).split()
+        return relayed, control
+
     def add_upstream(
         self,
         name: str,
         *,
         service: str = 'round-planner',
         domain: str = 'amman-north',
+        slots: int = 8,
+        listed: str = '',
     ) -> str:
-        address = self.start_stand_in('upstream', '--name', name)
+        """Start an upstream and return its address.
+
+        :param listed: the address in the host list, if it is another.
+        """
+        address = self.start_stand_in(
+            'upstream', '--name', name, '--slots', str(slots)
+        )
+        self.list_upstream(name, listed or address, service, domain)
+        return address
+
+    def list_upstream(
+        self,
+        name: str,
+        address: str,
+        service: str = 'round-planner',
+        domain: str = 'amman-north',
+    ) -> None:
+        """Put an upstream into the host list in place of its old entry."""
+        self._hosts = [item for item in self._hosts if item['host_id'] != name]
         self._hosts.append(
             {
                 'host_id': name,
@@ -140,7 +166,6 @@
             }
         )
         self.put_hosts()
-        return address
 
     def put_hosts(self) -> None:
         body = json.dumps({'hosts': self._hosts}).encode()
@@ -157,9 +182,9 @@
             (
                 '[daemon]', f'host_id = {name}', f'domain = {domain}',
                 'region = amman', f'callers = {callers}', f'peers = {peers}',
-                '[platform]', f'store = {self.store}', f'hosts = {self.hosts}',
-                '[cluster]', f'key = {"00" * 16}', '[operators]',
-                f'digests = {digest}', '[stop]',
+                '[platform]', f'store = {extra.get("store", self.store)}',
+                f'hosts = {self.hosts}', '[cluster]', f'key = {"00" * 16}',
+                '[operators]', f'digests = {digest}', '[stop]',
                 f'grace = {extra.get("grace", "500 ms")}', '[telemetry]',
                 f'spans = {self.directory / "spans"}', ''
             )
@@ -191,9 +216,8 @@
             }
         )
         self.put_hosts()
-        self.daemon_by_address[address] = self._start(
-            'nutmegworks.daemon.serve', str(path)
-        )
+        self._settings_by_address[address] = path
+        self.start_daemon(address)
         wanted = '/v1/ready' if ready else '/v1/health'
         wait_until(
             lambda: call('GET', address, wanted).status == 200,
@@ -201,6 +225,13 @@
         )
         return address
 
+    def start_daemon(self, address: str) -> None:
+        """Start a daemon that was added before."""
+        path = self._settings_by_address[address]
+        self.daemon_by_address[address] = self._start(
+            'nutmegworks.daemon.serve', str(path)
+        )
+
     def configure(self, *operations: list[typing.Any]) -> int:
         """Accept a change through a daemon's operators' interface."""
         address = next(iter(self.daemon_by_address))
--- a/tests/history/test_rules.py
+++ b/tests/history/test_rules.py
@@ -60,6 +60,30 @@
     )
 
 
+def _accepted_change(at: float, sequence: int) -> events.Event:
+    return events.ConfigurationAccepted(
+        at=at, sequence=sequence, change=f'c{sequence}'
+    )
+
+
+def _kept(sequence: int, change: str) -> events.Event:
+    return events.ConfigurationKept(at=99, sequence=sequence, change=change)
+
+
+def _sent_to(at: float) -> events.Event:
+    return events.RequestSent(
+        at=at, key='k', attempt='1', idempotent=False, daemon='n1'
+    )
+
+
+def _impaired(at: float, cause: str) -> events.Event:
+    return events.DaemonImpaired(at=at, daemon='n1', cause=cause)
+
+
+def _restored(at: float, cause: str) -> events.Event:
+    return events.DaemonRestored(at=at, daemon='n1', cause=cause)
+
+
 GOOD = {
     'answered': [
         _sent(0),
@@ -91,6 +115,31 @@
         events.UpstreamLeaving(at=0, upstream='u'),
         _executed(2.9),
     ],
+    'configuration late while the store is cut': [
+        _impaired(0, 'cut'),
+        _accepted_change(1, 4),
+        _observed(8, 3),
+        _restored(9, 'cut'),
+        _observed(13, 3),
+        _observed(14, 4),
+        _kept(4, 'c4'),
+    ],
+    'killed with a request': [
+        _sent_to(0),
+        _impaired(1, 'killed'),
+        _answered(2, ''),
+        _restored(3, 'killed'),
+    ],
+    'sent to a paused daemon': [
+        _impaired(0, 'paused'),
+        _sent_to(1),
+        _restored(2, 'paused'),
+        _answered(9, ''),
+    ],
+    'abandoned': [_sent_to(0), _answered(1, '', gave_up=True)],
+    'planned stop': [
+        events.DaemonStopped(at=1, daemon='n1', exit_code=0),
+    ],
     'restarted daemon': [
         _observed(0, 5),
         _observed(1, 3, 'b'),
@@ -151,6 +200,41 @@
         _task('w2', 1, 5, completed=False),
         _ended(),
     ],
+    'configuration late': [
+        _accepted_change(0, 4),
+        _observed(4.9, 3),
+        _observed(5.1, 3),
+    ],
+    'configuration late after the store returned': [
+        _impaired(0, 'cut'),
+        _impaired(0, 'paused'),
+        _accepted_change(1, 4),
+        _restored(2, 'cut'),
+        _observed(8, 3),
+        _restored(9, 'paused'),
+        _observed(14.1, 3),
+    ],
+    'accepted change lost': [_accepted_change(0, 4),
+                             _kept(4, 'other')],
+    'accepted change applied twice': [
+        _accepted_change(0, 4),
+        _kept(4, 'c4'),
+        _kept(5, 'c4'),
+    ],
+    'unclean stop': [
+        events.DaemonStopped(at=1, daemon='n1', exit_code=1),
+    ],
+    'request cut off by a planned stop': [
+        _sent_to(0),
+        _impaired(1, 'stopped'),
+        _answered(2, ''),
+    ],
+    'request cut off after the daemon returned': [
+        _impaired(0, 'killed'),
+        _restored(1, 'killed'),
+        _sent_to(2),
+        _answered(3, ''),
+    ],
     'configuration reverted': [_observed(0, 5),
                                _observed(1, 4)],
 }
