entry: pass the caller's attempt number to the claim

Cause: a delayed copy of an earlier attempt could claim a key again after the caller was told that it did not run; claims now compare attempt numbers. Ruled out: a time limit on delayed copies, which would rest on a clock. Change: Nutmeg-Attempt is read as a number.

--- a/src/nutmegworks/entry/claim.py
+++ b/src/nutmegworks/entry/claim.py
@@ -82,7 +82,7 @@
             key,
             context.team_id,
             digest,
-            first_attempt=context.first_attempt,
+            attempt_number=context.attempt_number,
             timeout=min(left, claim_service.CLAIM_TIMEOUT_SECONDS),
         )
         if isinstance(claimed, result.Ok):
@@ -93,6 +93,7 @@
             key,
             context.team_id,
             digest,
+            attempt_number=context.attempt_number,
             timeout=context.deadline - self._clock(),
         )
 
--- a/src/nutmegworks/entry/context.py
+++ b/src/nutmegworks/entry/context.py
@@ -17,8 +17,8 @@
 
     :param received: seconds on the daemon's monotonic clock.
     :param deadline: seconds on the daemon's monotonic clock.
-    :param first_attempt: whether the caller declares that it never sent this
-        key before.
+    :param attempt_number: the caller's count of its attempts with this key,
+        from 1; 0 if it does not count.
     :param claim_settled: whether the verdict of a refusal takes the claim of
         the key into account.
     """
@@ -32,7 +32,7 @@
     work_class: work.WorkClass | None = None
     deadline: float = 0.0
     key: ids.IdempotencyKey | None = None
-    first_attempt: bool = False
+    attempt_number: int = 0
     claim_settled: bool = False
     attempts: int = 0
 
--- a/src/nutmegworks/entry/keyverdict.py
+++ b/src/nutmegworks/entry/keyverdict.py
@@ -12,6 +12,13 @@
 from nutmegworks.net import message
 
 
+def attempt_number(fields: message.Headers) -> int:
+    """Return the caller's count of its attempts; 0 if it does not count."""
+    text = fields.get(headers.ATTEMPT, '')
+    valid = text.isascii() and text.isdigit() and len(text) <= 6
+    return int(text) if valid else 0
+
+
 def adjust(
     fields: message.Headers | None,
     refusal: verdict.Refusal,
@@ -23,7 +30,7 @@
     if refusal.verdict is not verdict.Verdict.DID_NOT_RUN:
         return refusal
     if fields is not None:
-        if headers.KEY not in fields or fields.get(headers.ATTEMPT) == '1':
+        if headers.KEY not in fields or attempt_number(fields) == 1:
             return refusal
     return dataclasses.replace(
         refusal,
@@ -47,13 +54,13 @@
         proceed: entry_filter.Proceed,
     ) -> entry_filter.Outcome:
         fields = context.request.headers
-        context.first_attempt = fields.get(headers.ATTEMPT) == '1'
+        context.attempt_number = attempt_number(fields)
         outcome = await proceed(context)
         if isinstance(outcome, result.Ok):
             return outcome
-        if context.first_attempt or context.claim_settled:
+        if context.claim_settled:
             return outcome
         return entry_filter.refuse(adjust(fields, outcome.err_value))
 
 
-__all__ = ('KeyVerdictFilter', 'adjust')
+__all__ = ('KeyVerdictFilter', 'adjust', 'attempt_number')
--- a/tests/daemon/test_path.py
+++ b/tests/daemon/test_path.py
@@ -30,7 +30,7 @@
                 headers=headers,
             ) for address in (first, second)
         ]
-        assert [item.status for item in answers] == [200, 200]
+        assert [item.status for item in answers] == [200, 200], answers
         assert {item.body for item in answers} == {b'u1:vans'}
         assert answers[1].headers['nutmeg-replayed'] == 'true'
         assert len(cluster.executions(upstream)) == 1
