configuration, peers, membership: controllers and messages between daemons

Cause: an accepted configuration must be in force on every daemon within 5 s while only a few of them may load the store. Ruled out: every daemon watching the store (a pending watch counts as a call). Death taken from rumours: one cut-off daemon could spread it. A fixed suspicion time of 5 s: with 30 members and half of them cut from one, live members were declared dead (test failed first). Change: two readers per failure domain by rendezvous hash, the others learn by offers and heartbeats; when nobody confirms the configuration, any daemon may read within a shared budget. HMAC-SHA256 on messages. Members with generations, refutation, pauses and one-way cuts.

--- /dev/null
+++ b/src/nutmegworks/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load generators and experiments."""
--- /dev/null
+++ b/src/nutmegworks/bench/cluster.py
@@ -0,0 +1,189 @@
+"""Runs many nodes and the stand-ins of the platform in one kernel."""
+from __future__ import annotations
+
+import contextlib
+import random
+import time
+import typing
+
+import curio
+
+from nutmegworks.bench import nodes
+from nutmegworks.bench import traffic
+from nutmegworks.configuration import change
+from nutmegworks.configuration import document
+from nutmegworks.configuration import repository
+from nutmegworks.net import client
+from nutmegworks.net import server
+from nutmegworks.platform import httpstore
+from standins import hosts as host_stand_in
+from standins import store as store_stand_in
+
+TEAM: typing.Final = 'north'
+POLL_SECONDS: typing.Final = 0.02
+
+
+class Cluster:
+    """Nodes in failure domains, a store and a host list.
+
+    :ivar operator: the store's address for the author of changes.
+    :ivar accepted_at: times by sequence, by ``time.monotonic``.
+    """
+
+    def __init__(
+        self,
+        platform: nodes.Platform,
+        store: store_stand_in.StoreStandIn,
+        host_list: host_stand_in.HostListStandIn,
+        *,
+        operator: client.Address,
+        seed: int,
+    ) -> None:
+        self.platform = platform
+        self.operator = operator
+        self.network = platform.network
+        self.store = store
+        self.host_list = host_list
+        self.rng = random.Random(seed)
+        self.nodes: list[nodes.Node] = []
+        self.accepted_at: dict[int, float] = {}
+        self.repository = repository.Repository(
+            httpstore.HttpStore(operator),
+            rng=random.Random(seed),
+        )
+
+    @property
+    def platform_ports(self) -> set[int]:
+        return {self.platform.store[1], self.platform.host_list[1]}
+
+    def counted(self) -> typing.ContextManager[traffic.Traffic]:
+        """Count the traffic of the nodes."""
+        return traffic.counted(self.platform_ports, {self.operator[1]})
+
+    @property
+    def running(self) -> list[nodes.Node]:
+        return [node for node in self.nodes if node.running]
+
+    @property
+    def readers(self) -> list[nodes.Node]:
+        return [node for node in self.running if node.view.is_reader()]
+
+    async def start(self, count: int, domains: int) -> None:
+        """Start all nodes at the same time."""
+        for index in range(count):
+            domain = f'domain-{index % domains}'
+            node = nodes.Node(
+                f'host-{index}',
+                domain,
+                self.platform,
+                seed=self.rng.getrandbits(32),
+            )
+            self.nodes.append(node)
+            await node.start()
+        self.host_list.hosts = [node.listed() for node in self.nodes]
+
+    async def accept(
+        self,
+        operation: change.Operation | None = None,
+    ) -> int:
+        """Accept a change and return its sequence."""
+        loaded = (await self.repository.load()).ok()
+        base = 0 if loaded is None else loaded.sequence
+        made = change.Change(
+            f'{self.rng.getrandbits(64):016x}',
+            'bench',
+            int(time.time()),
+            (operation or self._operation(base), ),
+        )
+        accepted = (await self.repository.accept(made, base=base)).unwrap()
+        self.accepted_at[accepted.sequence] = time.monotonic()
+        return accepted.sequence
+
+    def _operation(self, base: int) -> change.Operation:
+        if not base:
+            return change.PutTeam(TEAM, document.TeamEntry())
+        domain = f'domain-{self.rng.randrange(6)}'
+        shapes = (f'{self.rng.randrange(1, 9)}x8', )
+        return change.SetGuarantee(TEAM, domain, shapes)
+
+    async def in_force(
+        self,
+        sequence: int,
+        *,
+        limit: float,
+        among: list[nodes.Node] | None = None,
+    ) -> bool:
+        """Wait until all running nodes have adopted a sequence.
+
+        :param limit: seconds.
+        :return: whether they did in time.
+        """
+        deadline = time.monotonic() + limit
+        while time.monotonic() < deadline:
+            waiting = self.running if among is None else among
+            if all(node.sequence >= sequence for node in waiting):
+                return True
+            await curio.sleep(POLL_SECONDS)
+        return False
+
+    def cut_from_store(self, cut: typing.Iterable[nodes.Node]) -> None:
+        """Let calls of some nodes to the store get no answer."""
+        self.network.cuts |= {(node.name, self.platform.store) for node in cut}
+
+    def latencies(self, node: nodes.Node) -> list[float]:
+        """Return seconds from acceptance to adoption for each change.
+
+        A change that was adopted together with later ones counts from its
+        own acceptance.
+        """
+        found = []
+        for sequence, accepted in self.accepted_at.items():
+            times = [
+                at for adopted, at in node.adopted_at.items()
+                if adopted >= sequence
+            ]
+            if times and node.started_at < accepted:
+                found.append(max(0.0, min(times) - accepted))
+        return found
+
+
+@contextlib.asynccontextmanager
+async def running(
+    count: int,
+    *,
+    domains: int = 3,
+    seed: int = 1,
+) -> typing.AsyncIterator[Cluster]:
+    """Run a cluster whose store holds one change."""
+    store = store_stand_in.StoreStandIn()
+    host_list = host_stand_in.HostListStandIn()
+    servers = [
+        server.Server(handler)
+        for handler in (store.handle, host_list.handle, store.handle)
+    ]
+    for service in servers:
+        await service.start('127.0.0.1', 0)
+    platform = nodes.Platform(
+        servers[0].address,
+        servers[1].address,
+        nodes.Network(),
+    )
+    cluster = Cluster(
+        platform,
+        store,
+        host_list,
+        operator=servers[2].address,
+        seed=seed,
+    )
+    try:
+        await cluster.accept()
+        await cluster.start(count, domains)
+        yield cluster
+    finally:
+        for node in cluster.nodes:
+            await node.stop()
+        for service in servers:
+            await service.drain(limit=0.0)
+
+
+__all__ = ('Cluster', 'running')
--- a/src/nutmegworks/configuration/change.py
+++ b/src/nutmegworks/configuration/change.py
@@ -189,13 +189,14 @@
 class Change(msgspec.Struct, frozen=True, array_like=True):
     """Operations that take effect together.
 
-    :param change_id: chosen at random by the caller; a retry repeats it.
+    :param change_id: chosen at random by the caller; a retry repeats it. 16
+        hexadecimal digits are enough: every reader fetches all recent ids.
     :param at: seconds since 1970 by the operator's clock; informational.
     """
 
     change_id: str
     author: str
-    at: float
+    at: int
     operations: tuple[Operation, ...]
 
     def touches(self) -> frozenset[str]:
--- /dev/null
+++ b/src/nutmegworks/configuration/controller.py
@@ -0,0 +1,59 @@
+"""Keeps this daemon's configuration up to date."""
+from __future__ import annotations
+
+import random
+import time
+import typing
+
+import curio
+
+from nutmegworks.configuration import adoption
+from nutmegworks.configuration import fanout
+from nutmegworks.configuration import holder
+from nutmegworks.configuration import view as views
+from nutmegworks.configuration import watcher
+from nutmegworks.peers import client as peer_client
+from nutmegworks.peers import service
+from nutmegworks.platform import store
+
+
+class Controller:
+    """Runs the tasks of the configuration and publishes its snapshot.
+
+    :ivar holder: holds the configuration in force.
+    :ivar fanout: exchanges configurations with peers.
+    :param clock: seconds, monotonic.
+    """
+
+    def __init__(
+        self,
+        backend: store.Store,
+        client: peer_client.PeerClient,
+        view: views.View,
+        *,
+        rng: random.Random,
+        clock: typing.Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.holder = holder.Holder(clock=clock)
+        self.fanout = fanout.Fanout(self.holder, client, view, clock=clock)
+        self._watcher = watcher.Watcher(
+            self.holder, backend, view, rng=rng, clock=clock
+        )
+
+    @property
+    def current(self) -> adoption.Adopted | None:
+        """Return the configuration in force; None before the first."""
+        return self.holder.current
+
+    def register(self, target: service.PeerService) -> None:
+        """Serve the messages of the configuration."""
+        self.fanout.register(target)
+
+    async def run(self) -> None:
+        """Follow the store and the peers until cancelled."""
+        async with curio.TaskGroup() as group:
+            await group.spawn(self._watcher.run)
+            await group.spawn(self.fanout.run)
+
+
+__all__ = ('Controller', )
--- a/src/nutmegworks/configuration/reader.py
+++ b/src/nutmegworks/configuration/reader.py
@@ -5,7 +5,7 @@
 
 import result
 
-from nutmegworks.configuration import change as changes
+from nutmegworks.configuration import change
 from nutmegworks.configuration import document as documents
 from nutmegworks.configuration import records
 from nutmegworks.model import ids
@@ -84,12 +84,15 @@
         self,
         head: records.Head,
         sequence: int,
-    ) -> result.Result[tuple[changes.Accepted, ...], store.StoreError]:
+    ) -> result.Result[tuple[change.Accepted, ...], store.StoreError]:
         """Return all changes after a sequence, from archives if needed."""
         inline = head.after(sequence)
         if inline is not None:
             return result.Ok(inline)
-        by_sequence = {item.sequence: item for item in head.changes}
+        by_sequence: dict[int, change.Accepted] = {
+            item.sequence: item
+            for item in head.changes
+        }
         wanted = range(sequence + 1, head.sequence + 1)
         # An archive holds at most all changes of a head.
         longest = records.KEPT_CHANGES + records.ARCHIVED_CHANGES
@@ -114,15 +117,15 @@
 
 def replay(
     document: documents.Document,
-    accepted: typing.Iterable[changes.Accepted],
+    accepted: typing.Iterable[change.Accepted],
 ) -> documents.Document:
     """Return the document after accepted changes.
 
-    :raises changes.ChangeError: if one does not apply, which means that the
+    :raises change.ChangeError: if one does not apply, which means that the
         document is not the one that it was accepted for.
     """
     for item in accepted:
-        document = changes.apply(document, item.change)
+        document = change.apply(document, item.change)
     return document
 
 
--- /dev/null
+++ b/src/nutmegworks/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Members of the cluster and the detection of failed ones."""
--- /dev/null
+++ b/src/nutmegworks/membership/codec.py
@@ -0,0 +1,37 @@
+"""Converts members to and from their form in messages."""
+from __future__ import annotations
+
+from nutmegworks.membership import members
+from nutmegworks.model import ids
+from nutmegworks.peers import messages
+from nutmegworks.platform import hosts
+
+
+def to_news(member: members.Member) -> messages.MemberNews:
+    host, port = member.address
+    return messages.MemberNews(
+        member.member_id,
+        member.generation,
+        member.state.value,
+        member.incarnation,
+        f'{host}:{port}',
+        member.domain_id,
+    )
+
+
+def to_member(news: messages.MemberNews) -> members.Member | None:
+    """Return the member; None if a newer daemon sent an unknown state."""
+    try:
+        return members.Member(
+            ids.MemberId(news.member_id),
+            news.generation,
+            members.MemberState(news.state),
+            ids.Incarnation(news.incarnation),
+            hosts.parse_address(news.address),
+            ids.DomainId(news.domain),
+        )
+    except ValueError:
+        return None
+
+
+__all__ = ('to_member', 'to_news')
--- /dev/null
+++ b/src/nutmegworks/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between daemons: MessagePack over HTTP, authenticated."""
--- /dev/null
+++ b/tests/configuration/test_controller.py
@@ -0,0 +1,90 @@
+from __future__ import annotations
+
+import curio
+
+from nutmegworks.bench import cluster
+from tests import helpers
+
+IN_FORCE_SECONDS = 5.0
+
+
+def test_in_force_everywhere_with_readers_gone_and_store_cut() -> None:
+    """Half cut off, watches silent, readers killed: P8 must still hold."""
+
+    async def main() -> None:
+        async with cluster.running(24, seed=4) as running:
+            assert await running.in_force(1, limit=10.0)
+            running.cut_from_store(running.nodes[::2])
+            watching = [node.name for node in running.nodes[1::4]]
+            running.network.silent_watches.update(watching)
+            for node in running.readers[:3]:
+                await node.stop()
+            for _ in range(2):
+                sequence = await running.accept()
+                assert await running.in_force(sequence, limit=IN_FORCE_SECONDS)
+            assert not any(node.reverted for node in running.nodes)
+
+    helpers.run(main)
+
+
+def test_every_designated_reader_cut_from_the_store() -> None:
+    """The others must notice that nobody confirms the configuration."""
+
+    async def main() -> None:
+        async with cluster.running(24, seed=5) as running:
+            assert await running.in_force(1, limit=10.0)
+            running.cut_from_store(running.readers)
+            sequence = await running.accept()
+            # Twice the promise: detection and reading are both random.
+            assert await running.in_force(sequence, limit=2 * IN_FORCE_SECONDS)
+
+    helpers.run(main)
+
+
+def test_stale_reads_never_revert_nor_stick() -> None:
+    """A stale answer must neither revert nor end the watching."""
+
+    async def main() -> None:
+        async with cluster.running(12, seed=6) as running:
+            for _ in range(4):
+                sequence = await running.accept()
+            assert await running.in_force(sequence, limit=10.0)
+            running.store.faults.stale_reads = 3
+            await curio.sleep(2.0)
+            assert {node.sequence for node in running.nodes} == {sequence}
+            running.store.faults.stale_reads = 0
+            sequence = await running.accept()
+            running.store.faults.stale_reads = 1
+            await curio.sleep(1.0)
+            running.store.faults.stale_reads = 0
+            assert await running.in_force(sequence, limit=IN_FORCE_SECONDS)
+            # Reads after a restart are stale: peers know better.
+            running.store.faults.stale_reads = 4
+            await running.nodes[0].stop()
+            await running.nodes[0].start()
+            assert await running.in_force(sequence, limit=IN_FORCE_SECONDS)
+            assert not any(node.reverted for node in running.nodes)
+
+    helpers.run(main)
+
+
+def test_burst_beyond_what_the_head_holds() -> None:
+    """A daemon that missed many changes must take the snapshot."""
+
+    async def main() -> None:
+        async with cluster.running(6, seed=7) as running:
+            assert await running.in_force(1, limit=10.0)
+            running.store.faults.silent_watches = True
+            late = running.nodes[0]
+            await late.stop()
+            for _ in range(300):
+                sequence = await running.accept()
+            running.store.faults.silent_watches = False
+            await late.start()
+            assert await running.in_force(sequence, limit=IN_FORCE_SECONDS)
+            expected = (await running.repository.load()).ok_value.document
+            for node in running.nodes:
+                current = node.configuration.current
+                assert current is not None and current.document == expected
+
+    helpers.run(main)
--- a/tests/configuration/test_repository.py
+++ b/tests/configuration/test_repository.py
@@ -28,12 +28,12 @@
 
 def put_team(name: str, change_id: str = '') -> change.Change:
     operation = change.PutTeam(name, document.TeamEntry())
-    return change.Change(change_id or name, 'eva', 0.0, (operation, ))
+    return change.Change(change_id or name, 'eva', 0, (operation, ))
 
 
 def set_guarantee(team: str, domain: str, author: str) -> change.Change:
     operation = change.SetGuarantee(team, domain, ('1x8', ))
-    return change.Change(f'{author}-{domain}', author, 0.0, (operation, ))
+    return change.Change(f'{author}-{domain}', author, 0, (operation, ))
 
 
 def test_lost_answer_is_resolved_by_change_id() -> None:
@@ -175,7 +175,7 @@
         },
     )
     operations = difference.between(old, new)
-    mine = change.Change('1', 'eva', 0.0, operations)
+    mine = change.Change('1', 'eva', 0, operations)
     assert change.apply(old, mine) == new
     assert not any(isinstance(item, change.PutTeam) for item in operations)
 
--- /dev/null
+++ b/tests/membership/test_controller.py
@@ -0,0 +1,71 @@
+from __future__ import annotations
+
+import curio
+
+from nutmegworks.bench import cluster
+from tests import helpers
+
+HOSTS = 36
+BUDGET_BYTES_PER_SECOND = 8 * 1024
+
+
+def test_simultaneous_start_spares_the_store() -> None:
+    """Daemons that all start at once must not flood the store."""
+
+    async def main() -> None:
+        async with cluster.running(HOSTS, seed=1) as running:
+            running.store.calls.clear()
+            assert await running.in_force(1, limit=8.0)
+            await curio.sleep(1.0)
+            # Each of 6 readers reads at once and watches; the fallback adds
+            # 4 reads a second.
+            assert sum(running.store.calls.values()) < 2 * HOSTS
+            assert len(running.readers) == 6
+
+    helpers.run(main)
+
+
+def test_start_without_a_host_list_spares_the_store() -> None:
+    """Unknown members must not make every daemon a reader."""
+
+    async def main() -> None:
+        async with cluster.running(HOSTS, seed=2) as running:
+            running.host_list.down = True
+            running.store.calls.clear()
+            await curio.sleep(3.0)
+            assert sum(running.store.calls.values()) < HOSTS / 2
+            running.host_list.down = False
+            assert await running.in_force(1, limit=15.0)
+
+    helpers.run(main)
+
+
+def test_control_traffic_stays_within_the_budget() -> None:
+    """8 KB/s per host must hold at the two-year rate of changes."""
+
+    async def main() -> None:
+        async with cluster.running(HOSTS, seed=3) as running:
+            assert await running.in_force(1, limit=8.0)
+            with running.counted() as counted:
+                for _ in range(3):
+                    await running.accept()
+                    await curio.sleep(1.5)
+            rate = counted.per_host(HOSTS, 4.5)
+            assert 500 < rate < BUDGET_BYTES_PER_SECOND
+
+    helpers.run(main)
+
+
+def test_leaving_daemon_is_known_to_all() -> None:
+    """Work must not be forwarded to a daemon that stops."""
+
+    async def main() -> None:
+        async with cluster.running(12, seed=8) as running:
+            assert await running.in_force(1, limit=8.0)
+            leaving = running.nodes[3]
+            await leaving.membership.leave()
+            await curio.sleep(4.0)
+            for node in running.nodes:
+                assert not node.table.is_alive(leaving.table.own.member_id)
+
+    helpers.run(main)
--- /dev/null
+++ b/tests/membership/test_members.py
@@ -0,0 +1,189 @@
+from __future__ import annotations
+
+import dataclasses
+import random
+import typing
+
+from nutmegworks.membership import members
+from nutmegworks.model import ids
+from nutmegworks.platform import hosts
+
+ALIVE = members.MemberState.ALIVE
+SUSPECT = members.MemberState.SUSPECT
+DEAD = members.MemberState.DEAD
+LEAVING = members.MemberState.LEAVING
+
+
+def member(index: int, generation: int = 100) -> members.Member:
+    return members.Member(
+        ids.MemberId(f'd{index}'), generation, ALIVE,
+        ids.Incarnation(f'run-{index}-{generation}'),
+        ('127.0.0.1', 1000 + index), ids.DomainId(f'east-{index % 3}')
+    )
+
+
+def host(index: int, state: hosts.HostState) -> hosts.Host:
+    return hosts.Host(
+        f'd{index}', hosts.HostRole.DAEMON, ('127.0.0.1', 1000 + index),
+        ids.DomainId(f'east-{index % 3}'), state
+    )
+
+
+class Cluster:
+    """Exchanges heartbeats between tables, one second a round."""
+
+    def __init__(self, count: int, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.stopped: set[int] = set()
+        self.cut: typing.Callable[[int, int], bool] = lambda one, two: False
+        self.tables = [self.table(index) for index in range(count)]
+        listed = [host(index, hosts.HostState.LIVE) for index in range(count)]
+        for table in self.tables:
+            table.apply_hosts(listed, now=0.0)
+
+    def table(self, index: int, generation: int = 100) -> members.Members:
+        return members.Members(member(index, generation), now=self.now)
+
+    def round(self) -> None:
+        self.now += 1.0
+        for index, table in enumerate(self.tables):
+            if index in self.stopped:
+                continue
+            table.tick(now=self.now)
+            for peer in table.pick(self.rng, 1):
+                self.exchange(index, int(peer.member_id[1:]))
+
+    def exchange(self, index: int, other: int) -> None:
+        table, peer = self.tables[index], self.tables[other]
+        if other in self.stopped or self.cut(index, other):
+            table.unreachable(peer.own.member_id, now=self.now)
+            return
+        known = table.get(peer.own.member_id)
+        silent = known is not None and known.state in members.SILENT_STATES
+        accusation = self.deliver(table, peer, known if silent else None)
+        self.deliver(peer, table, accusation)
+
+    def deliver(
+        self,
+        sender: members.Members,
+        receiver: members.Members,
+        first: members.Member | None,
+    ) -> members.Member | None:
+        news = sender.news(self.rng, 6)
+        if first is not None:
+            news = (first, *sender.news(self.rng, 24, fill=24))
+        for item in news:
+            receiver.merge(item, now=self.now)
+        return receiver.contacted(sender.own, now=self.now)
+
+    def states(self, index: int) -> set[members.MemberState | None]:
+        found = {
+            table.get(ids.MemberId(f'd{index}'))
+            for number, table in enumerate(self.tables)
+            if number not in self.stopped | {index}
+        }
+        return {item and item.state for item in found}
+
+
+def test_crash_is_noticed_by_all_and_a_restart_too() -> None:
+    """A dead daemon must not stay in use, nor a restarted one out of it."""
+    cluster = Cluster(30, 1)
+    for _ in range(10):
+        cluster.round()
+    cluster.stopped = {4}
+    for _ in range(25):
+        cluster.round()
+    assert cluster.states(4) == {DEAD}
+    # The new run's clock is behind: its generation is below the old one.
+    cluster.tables[4] = cluster.table(4, 50)
+    listed = [host(index, hosts.HostState.LIVE) for index in range(30)]
+    cluster.tables[4].apply_hosts(listed, now=cluster.now)
+    cluster.stopped = set()
+    for _ in range(15):
+        cluster.round()
+    assert cluster.states(4) == {ALIVE}
+    assert cluster.tables[4].own.generation > 100
+    known = cluster.tables[9].get(ids.MemberId('d4'))
+    assert known is not None and known.incarnation == 'run-4-50'
+
+
+def test_one_way_cuts_kill_nobody() -> None:
+    """A cut path between two daemons must not remove either of them."""
+    cluster = Cluster(30, 2)
+    cluster.cut = lambda one, two: two == 4 and one % 2 == 0
+    dead = 0
+    for _ in range(200):
+        cluster.round()
+        dead += sum(
+            item.state is DEAD
+            for table in cluster.tables
+            for item in table.all()
+        )
+    assert dead == 0
+
+
+def test_healed_partition_finds_itself() -> None:
+    """Two halves that declared each other dead must join again."""
+    cluster = Cluster(30, 3)
+    cluster.cut = lambda one, two: (one < 10) != (two < 10)
+    for _ in range(60):
+        cluster.round()
+    assert {len(table.alive()) for table in cluster.tables} == {10, 20}
+    cluster.cut = lambda one, two: False
+    for _ in range(40):
+        cluster.round()
+    assert {len(table.alive()) for table in cluster.tables} == {30}
+
+
+def test_paused_daemon_accuses_nobody_of_its_own_silence() -> None:
+    """A daemon that resumes must give its suspects time to refute."""
+    table = members.Members(member(0), now=0.0)
+    table.merge(member(1), now=0.0)
+    table.unreachable(ids.MemberId('d1'), now=1.0)
+    table.tick(now=1.0)
+    table.tick(now=31.0)
+    assert not table.is_alive(ids.MemberId('d1'))
+    known = table.get(ids.MemberId('d1'))
+    assert known is not None and known.state is SUSPECT
+    for second in range(32, 32 + int(table.suspect_seconds)):
+        table.tick(now=float(second))
+    known = table.get(ids.MemberId('d1'))
+    assert known is not None and known.state is DEAD
+
+
+def test_rumours() -> None:
+    """Old or exaggerated rumours must not override what is known."""
+    table = members.Members(member(0), now=0.0)
+    table.merge(member(1), now=0.0)
+    d1 = ids.MemberId('d1')
+
+    def state() -> members.MemberState:
+        known = table.get(d1)
+        assert known is not None
+        return known.state
+
+    dead = dataclasses.replace(member(1), state=DEAD)
+    table.merge(dataclasses.replace(dead, generation=99), now=1.0)
+    assert state() is ALIVE
+    table.merge(dead, now=1.0)
+    assert state() is SUSPECT
+    table.merge(member(1), now=2.0)
+    assert state() is SUSPECT
+    # The accused hears of it from whom it contacts, and answers.
+    assert table.contacted(member(1), now=2.0) is not None
+    assert state() is ALIVE
+    table.merge(dead, now=2.0)
+    table.merge(member(1, 101), now=2.0)
+    assert state() is ALIVE
+    table.apply_hosts([host(1, hosts.HostState.LEAVING)], now=3.0)
+    assert state() is LEAVING and table.alive() == (table.own, )
+    own = dataclasses.replace(table.own, state=SUSPECT)
+    table.merge(own, now=3.0)
+    assert table.own.generation == 101 and table.own.state is ALIVE
+    table.leave()
+    table.merge(dataclasses.replace(table.own, state=DEAD), now=3.0)
+    assert table.own.generation == 103 and table.own.state is LEAVING
+    stranger = dataclasses.replace(member(7), state=SUSPECT)
+    table.merge(stranger, now=3.0)
+    assert table.get(ids.MemberId('d7')) is None
