policy: do not move a guaranteed block of which a part is in use

Cause: make_room checked only the accelerators that the borrower wanted; a slot block used in another part was moved away from the work in it. Ruled out: splitting the block; the team would lose its shape. Conclusion: found by the exhaustive comparison, not by review.

--- a/src/nutmegworks/policy/shapes.py
+++ b/src/nutmegworks/policy/shapes.py
@@ -310,8 +310,10 @@
         displaced = self._slots_on(blocks)
         if len(displaced) > MAX_SLOTS_MOVED:
             return False
-        if any(self._used(block) for block in blocks):
-            return False
+        for slot in displaced:
+            # A block in use cannot move, not even its unused part.
+            if any(self._used(b) for b in self._overlapping(slot, blocks)):
+                return False
         before = {slot.slot_id: slot.blocks for slot in displaced}
         self._mark_firm(blocks, True)
         for slot in displaced:
@@ -320,21 +322,11 @@
                 break
         else:
             return True
-        if self._reembed_around(displaced, blocks):
+        if self._reembed():
             return True
         self._mark_firm(blocks, False)
         return False
 
-    def _reembed_around(
-        self,
-        displaced: list[Slot],
-        blocks: typing.Sequence[capacity.Block],
-    ) -> bool:
-        for slot in displaced:
-            if any(self._used(b) for b in self._overlapping(slot, blocks)):
-                return False
-        return self._reembed()
-
     def _mark_firm(
         self,
         blocks: typing.Iterable[capacity.Block],
