daemon: configuration, membership and claim forwarding wired

Cause: daemons polled the store for the configuration and wrote each claim themselves. Ruled out: one pool for peers and upstreams; a burst of requests would close the connections between daemons. Change: control.py wires the controllers, forwarder.py carries claim operations to the preferred daemon, accepted changes are in force at once on the daemon that accepted them.

--- a/src/nutmegworks/cli/session.py
+++ b/src/nutmegworks/cli/session.py
@@ -36,7 +36,7 @@
         change = changes.Change(
             self.change_id or secrets.token_hex(8),
             getpass.getuser(),
-            time.time(),
+            int(time.time()),
             operations,
         )
         typer.echo(f'change {change.change_id}', err=True)
--- a/src/nutmegworks/daemon/compose.py
+++ b/src/nutmegworks/daemon/compose.py
@@ -8,11 +8,11 @@
 
 import curio
 import logbook
-import result
 
 from nutmegworks.claims import service as claim_service
-from nutmegworks.configuration import document as documents
 from nutmegworks.configuration import repository as repositories
+from nutmegworks.daemon import control
+from nutmegworks.daemon import forwarder as daemon_forwarder
 from nutmegworks.daemon import spans as daemon_spans
 from nutmegworks.daemon import upstreams as daemon_upstreams
 from nutmegworks.entry import authenticate
@@ -28,8 +28,6 @@
 from nutmegworks.entry import router
 from nutmegworks.entry import trace
 from nutmegworks.model import ids
-from nutmegworks.model import published
-from nutmegworks.model import work
 from nutmegworks.net import message
 from nutmegworks.net import pool
 from nutmegworks.net import server
@@ -43,7 +41,6 @@
 
 _LOG: typing.Final = logbook.Logger('daemon')
 
-CONFIGURATION_POLL_SECONDS: typing.Final = 1.0
 OUTCOME_DRAIN_SECONDS: typing.Final = 5.0
 RETIRE_SECONDS: typing.Final = 1.0
 
@@ -65,7 +62,6 @@
         self._stopping = False
         self._incarnation = ids.Incarnation(secrets.token_hex(8))
         self._member_id = ids.MemberId(settings.daemon_host_id)
-        self._configuration = published.Published[work.Configuration]()
         self._metrics = telemetry_metrics.Metrics()
         self._tracer = spans.Tracer(
             'nutmegd', enabled=bool(settings.telemetry_spans)
@@ -80,6 +76,10 @@
         self._host_list = hosts.HttpHostList(
             settings.platform_hosts, connections=self._pool
         )
+        self._control = control.Control(
+            settings, self._incarnation, self._store, self._host_list
+        )
+        self._configuration = self._control.published
         self._upstream_client = upstreams.HttpUpstreamClient(self._pool)
         self._upstreams = daemon_upstreams.UpstreamController(
             self._host_list, self._upstream_client
@@ -91,8 +91,12 @@
             self._store,
             member_id=self._member_id,
             incarnation=self._incarnation,
-            members=lambda: (self._member_id, ),
+            members=self._control.live_member_ids,
+            forwarder=daemon_forwarder.PeerForwarder(
+                self._control.client, self._control.table
+            ),
         )
+        daemon_forwarder.register(self._control.peers, self._claims)
         self._claim_filter = claim.ClaimFilter(self._claims)
         self._callers = server.Server(
             self._router().handle,
@@ -131,7 +135,9 @@
     def _router(self) -> router.Router:
         endpoint = requests.RequestEndpoint(self._chain())
         tokens = operators.OperatorTokens(self._settings.operators_digests)
-        config = operators.ConfigurationEndpoint(self._repository)
+        config = operators.ConfigurationEndpoint(
+            self._repository, self._control.configuration.holder.take_changes
+        )
         return router.Router(
             (
                 router.route(
@@ -164,11 +170,13 @@
     ) -> message.Response:
         configuration = self._configuration.value
         ready = configuration is not None and not self._stopping
+        age = self._control.configuration.holder.age()
         value = {
             'ready': ready,
             'stopping': self._stopping,
             'incarnation': self._incarnation,
             'config_sequence': configuration.sequence if configuration else 0,
+            'config_age_seconds': age,
         }
         return message.json_response(200 if ready else 503, value)
 
@@ -177,6 +185,9 @@
         request: message.Request,
         parameters: typing.Mapping[str, str],
     ) -> message.Response:
+        if self._configuration.value is not None:
+            sequence = self._configuration.value.sequence
+            self._metrics.config_sequence.set({}, sequence)
         self._metrics.store_calls.set({}, self._store.calls)
         return self._metrics.render()
 
@@ -187,6 +198,7 @@
         """
         async with signals.SignalReceiver(signal.SIGTERM,
                                           signal.SIGINT) as queue:
+            await self._control.start()
             await self._callers.start(*self._settings.daemon_callers)
             _LOG.info('daemon serves callers', address=self._callers.address)
             async with curio.TaskGroup(wait=any) as group:
@@ -194,7 +206,7 @@
                         self._upstreams.run,
                         self._claims.run,
                         self._span_writer.run,
-                        self._follow_configuration,
+                        self._control.run,
                         self._retire_connections,
                 ):
                     await group.spawn(task)
@@ -206,11 +218,13 @@
         _LOG.info('daemon stops', signal=int(number))
         self._stopping = True
         self._callers.announce_stop()
+        await self._control.leave()
         # The balancer goes on sending until it has seen that this daemon is
         # not ready.
         await curio.sleep(self._settings.stop_grace)
         finished = await self._callers.drain(self._settings.stop_limit)
         await self._claim_filter.drain(OUTCOME_DRAIN_SECONDS)
+        await self._control.drain()
         self._span_writer.flush()
         return finished
 
@@ -218,23 +232,7 @@
         while True:
             await curio.sleep(RETIRE_SECONDS)
             await self._pool.retire()
-
-    async def _follow_configuration(self) -> None:
-        while True:
-            loaded = await self._repository.load()
-            if isinstance(loaded, result.Ok) and loaded.ok_value.sequence:
-                self._publish(loaded.ok_value)
-            await curio.sleep(CONFIGURATION_POLL_SECONDS)
-
-    def _publish(self, state: repositories.State) -> None:
-        current = self._configuration.value
-        if current is not None and state.sequence <= current.sequence:
-            return
-        self._configuration.publish(
-            documents.to_configuration(state.document, state.sequence)
-        )
-        self._metrics.config_sequence.set({}, state.sequence)
-        _LOG.info('configuration in force', sequence=state.sequence)
+            await self._control.retire_connections()
 
 
 __all__ = ('Daemon', )
--- /dev/null
+++ b/src/nutmegworks/daemon/forwarder.py
@@ -0,0 +1,76 @@
+"""Forwards claim operations to other daemons."""
+from __future__ import annotations
+
+import typing
+
+import msgspec
+import result
+
+from nutmegworks.claims import forwarder as forwarding
+from nutmegworks.claims import record
+from nutmegworks.claims import service as claim_service
+from nutmegworks.membership import members
+from nutmegworks.model import ids
+from nutmegworks.peers import client as peer_client
+from nutmegworks.peers import service as peer_service
+
+CLAIM_PATH: typing.Final = '/peer/claims'
+
+
+class ForwardedOperation(msgspec.Struct, frozen=True, array_like=True):
+    """A claim operation on its way to the preferred daemon."""
+
+    operation: record.Operation
+
+
+class PeerForwarder(forwarding.ClaimForwarder):
+    """Reaches the other daemons over their internal listeners."""
+
+    def __init__(
+        self,
+        client: peer_client.PeerClient,
+        table: members.Members,
+    ) -> None:
+        self._client = client
+        self._table = table
+
+    async def forward(
+        self,
+        member_id: ids.MemberId,
+        operation: record.Operation,
+        *,
+        timeout: float,
+    ) -> result.Result[record.Reply, forwarding.ForwardError]:
+        member = self._table.get(member_id)
+        if member is None:
+            return result.Err(
+                forwarding.ForwardError(f'{member_id} is unknown', False)
+            )
+        answer = await self._client.call(
+            member.address,
+            CLAIM_PATH,
+            ForwardedOperation(operation),
+            record.Reply,
+            timeout=timeout,
+        )
+        if isinstance(answer, result.Ok):
+            return answer
+        # The peer client does not say whether a byte was sent.
+        return result.Err(
+            forwarding.ForwardError(answer.err_value.detail, True)
+        )
+
+
+def register(
+    target: peer_service.PeerService,
+    claims: claim_service.ClaimService,
+) -> None:
+    """Serve the operations that other daemons forward."""
+
+    async def serve(forwarded: ForwardedOperation) -> record.Reply:
+        return await claims.serve(forwarded.operation)
+
+    target.register(CLAIM_PATH, ForwardedOperation, serve)
+
+
+__all__ = ('CLAIM_PATH', 'ForwardedOperation', 'PeerForwarder', 'register')
--- a/src/nutmegworks/entry/operators.py
+++ b/src/nutmegworks/entry/operators.py
@@ -21,6 +21,12 @@
     typing.Awaitable[message.Response],
 ]
 
+# Puts a change in force here at once; readers would meet it soon after.
+OnAccepted = typing.Callable[
+    [tuple[changes.Accepted, ...]],
+    typing.Awaitable[object],
+]
+
 _STATUS_BY_KIND: typing.Final = {
     repositories.RejectionKind.INVALID: 422,
     repositories.RejectionKind.CONFLICT: 409,
@@ -78,8 +84,13 @@
 class ConfigurationEndpoint:
     """Reads and changes the stored configuration."""
 
-    def __init__(self, repository: repositories.Repository) -> None:
+    def __init__(
+        self,
+        repository: repositories.Repository,
+        on_accepted: OnAccepted,
+    ) -> None:
         self._repository = repository
+        self._on_accepted = on_accepted
 
     async def show(
         self,
@@ -123,6 +134,7 @@
         )
         if isinstance(outcome, result.Err):
             return _rejected(outcome.err_value)
+        await self._on_accepted((outcome.ok_value, ))
         return message.json_response(
             200, {'sequence': outcome.ok_value.sequence}
         )
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -237,7 +237,7 @@
         address = next(iter(self.daemon_by_address))
         shown = call('GET', address, '/v1/config', token=OPERATOR_TOKEN)
         base = json.loads(shown.body)['sequence']
-        change = [os.urandom(8).hex(), 'test', 0.0, list(operations)]
+        change = [os.urandom(8).hex(), 'test', 0, list(operations)]
         reply = call(
             'POST',
             address,
--- a/standins/operating.py
+++ b/standins/operating.py
@@ -60,7 +60,7 @@
         base = self._base()
         # Leaves time for another operator's change.
         time.sleep(self._rng.uniform(0.0, THINK_SECONDS))
-        change = [change_id, self.name, time.time(), operations]
+        change = [change_id, self.name, int(time.time()), operations]
         body = json.dumps({'base': base, 'change': change}).encode()
         for _ in range(TRIES):
             outcome = 'no daemon' if base is None else self._propose(
