--- a/src/nutmegworks/claims/batcher.py
+++ b/src/nutmegworks/claims/batcher.py
@@ -86,11 +86,13 @@
         *,
         clock: typing.Callable[[], float] = time.monotonic,
         write_interval: float = WRITE_INTERVAL_SECONDS,
+        finish_delay: float = FINISH_DELAY_SECONDS,
     ) -> None:
         self._store = backing
         self._shard = shard
         self._clock = clock
         self._write_interval = write_interval
+        self._finish_delay = finish_delay
         self._next_write = -math.inf
         self._waiting_by_slot: dict[int, list[_Waiting]] = {}
         self._count = 0
@@ -110,7 +112,7 @@
         """
         if self._count >= MAX_WAITING:
             return record.Reply(record.Status.OVERLOADED)
-        waiting = _Waiting(operation, self._clock() + _delay(operation))
+        waiting = _Waiting(operation, self._due(operation))
         await self._enqueue(waiting)
         try:
             reply = await curio.ignore_after(timeout, waiting.reply.unwrap)
@@ -125,8 +127,8 @@
     async def post(self, operation: record.Operation) -> None:
         """Store an outcome when the store permits; nobody waits for it."""
         if self._count < MAX_WAITING:
-            due = self._clock() + _delay(operation)
-            await self._enqueue(_Waiting(operation, due, patient=True))
+            waiting = _Waiting(operation, self._due(operation), patient=True)
+            await self._enqueue(waiting)
 
     async def run(self) -> None:
         """Handle operations until cancelled."""
@@ -136,6 +138,11 @@
             self._next_write = self._clock() + self._write_interval
             await self._settle(slot, batch)
 
+    def _due(self, operation: record.Operation) -> float:
+        if isinstance(operation, record.FinishOperation):
+            return self._clock() + self._finish_delay
+        return self._clock()
+
     async def _enqueue(self, waiting: _Waiting) -> None:
         slot = waiting.operation.epoch % claim_key.EPOCH_SLOTS
         self._waiting_by_slot.setdefault(slot, []).append(waiting)
@@ -275,12 +282,6 @@
             )
 
 
-def _delay(operation: record.Operation) -> float:
-    if isinstance(operation, record.FinishOperation):
-        return FINISH_DELAY_SECONDS
-    return 0.0
-
-
 def _max_age(batch: list[_Waiting]) -> float:
     for item in batch:
         if isinstance(item.operation, record.LookOperation):
--- a/tests/claims/test_batcher.py
+++ b/tests/claims/test_batcher.py
@@ -20,8 +20,9 @@
 
     async def main() -> None:
         items = [
-            batcher.Batcher(backing, 0, write_interval=0.005)
-            for _ in range(batchers)
+            batcher.Batcher(
+                backing, 0, write_interval=0.005, finish_delay=0.01
+            ) for _ in range(batchers)
         ]
         tasks = [await curio.spawn(item.run) for item in items]
         await scenario(backing, *items)
@@ -125,7 +126,6 @@
 def test_outcome_survives_an_outage(monkeypatch) -> None:
     """An outcome met by an outage must be stored once the store is back."""
     monkeypatch.setattr(batcher, 'RETRY_SECONDS', 0.02)
-    monkeypatch.setattr(batcher, 'FINISH_DELAY_SECONDS', 0.01)
 
     async def scenario(backing, shard) -> None:
         await claim(shard, operations.claim_operation('a'))
@@ -140,9 +140,8 @@
     run(scenario)
 
 
-def test_outcome_by_a_daemon_with_an_old_copy(monkeypatch) -> None:
+def test_outcome_by_a_daemon_with_an_old_copy() -> None:
     """A copy without the claim must be read again, not believed."""
-    monkeypatch.setattr(batcher, 'FINISH_DELAY_SECONDS', 0.01)
 
     async def scenario(backing, one, two) -> None:
         await claim(two, operations.claim_operation('x', number=1))
--- a/tests/claims/test_record.py
+++ b/tests/claims/test_record.py
@@ -41,6 +41,16 @@
     assert (late, refused.status) == (after, record.Status.NOT_HOLDER)
 
 
+def test_outcome_is_final() -> None:
+    """A delayed release must not free the key of a request that ran."""
+    operation = operations.finish_operation(record.State.RAN)
+    done = record.finish(operations.claimed(), operation).unwrap()
+    assert record.finish(done, operation).ok_value is done
+    release = operations.finish_operation(record.State.DID_NOT_RUN)
+    refused = record.finish(done, release)
+    assert refused.err_value.status is record.Status.ATTEMPT_OVER
+
+
 @pytest.mark.parametrize('ended, late', ((1, 1), (2, 1), (0, 0), (1, 0)))
 def test_late_attempt_claims_no_more(ended, late) -> None:
     """An attempt must not run after a later one was told "did not run"."""
