--- a/tests/routing/test_table.py
+++ b/tests/routing/test_table.py
@@ -173,7 +173,7 @@
 
 def test_load_of_other_daemons_counts_until_it_is_the_last_choice() -> None:
     """An old report must steer work away, but never refuse it."""
-    routes = new_table('a')
+    routes = new_table('a', policy=chooser.RandomChooser())
     routes.listed([host('a'), host('b', domain='south')], -99.0)
     full = upstreams.UpstreamReport(leaving=False, slots=8, busy=8)
     routes.reported('a', full, 1.0)
