bench: compare placement policies on seeded streams

Cause: the policy must be chosen by measurement on both deployments. Ruled out: a cluster simulator; a fake of the workers that answers start, checkpoint and stop is enough to drive the scheduler. Change: bench.streams, bench.policy; a test for backfilled jobs that outstay their declaration; a job withdrawn and refused at once is refused once. The new test fails if backfilled jobs are not reclaimed; no earlier test did.

--- /dev/null
+++ b/src/nutmegworks/bench/policy.py
@@ -0,0 +1,225 @@
+"""Compares placement policies on the same seeded job streams."""
+from __future__ import annotations
+
+import collections
+import concurrent.futures
+import dataclasses
+import functools
+import random
+import statistics
+import typing
+
+from hdrh import histogram
+import typer
+
+from nutmegworks.bench import simulation
+from nutmegworks.bench import streams
+from nutmegworks.model import ids
+from nutmegworks.policy import bitmask
+from nutmegworks.policy import placement
+from nutmegworks.policy import scheduler as schedulers
+
+POLICIES: typing.Final = ('random', 'first-fit', 'best-fit', 'chosen')
+SEEDS: typing.Final = tuple(range(1, 13))
+# Streams that no choice in the policy was tried on.
+HELD_OUT_SEEDS: typing.Final = (1001, 1002)
+# Two whole workers of one rack: the smallest large job of both deployments.
+LARGE_BLOCKS: typing.Final = 2
+# Streams end when every job has ended, or at this many simulated seconds.
+END_SECONDS: typing.Final = 6 * streams.STREAM_SECONDS
+
+
+def _policy(name: str, seed: int) -> placement.PlacementPolicy:
+    if name == 'random':
+        return placement.RandomPlacement(random.Random(seed))
+    return {
+        'first-fit': placement.FirstFit,
+        'best-fit': placement.BestFit,
+        'chosen': placement.LeastLoss,
+    }[name]()
+
+
+class Fragmentation(simulation.Observer):
+    """Measures idle accelerators that a large job cannot use.
+
+    Idle accelerators could serve some number of large jobs if they lay
+    together. What the actual blocks cannot serve of this is scattered.
+    """
+
+    def __init__(self) -> None:
+        self.idle_time = 0.0
+        self.scattered_time = 0.0
+
+    def before(self, sim: simulation.Simulation, elapsed: float) -> None:
+        if sim.now >= streams.STREAM_SECONDS:
+            return
+        idle = whole = 0
+        for worker in sim.scheduler.cluster.worker_by_id.values():
+            mask = worker.available & ~worker.busy
+            idle += mask.bit_count()
+            whole += mask == bitmask.full(worker.accelerators)
+        size = LARGE_BLOCKS * streams.ACCELERATORS
+        possible = idle // size - whole // LARGE_BLOCKS
+        self.idle_time += idle * elapsed
+        self.scattered_time += possible * size * elapsed
+
+
+@dataclasses.dataclass(slots=True)
+class Result:
+    """One seed of one deployment under one policy.
+
+    :ivar seconds_by_class: completion times; None for a job that should
+        have finished and did not.
+    """
+
+    seconds_by_class: dict[str, list[float | None]]
+    idle_time: float = 0.0
+    scattered_time: float = 0.0
+    restarts: int = 0
+
+    def quantile(self, class_id: str, percentile: float) -> float:
+        """Return seconds, to three digits."""
+        recorded = histogram.HdrHistogram(1, 10**9, 3)
+        for seconds in self.seconds_by_class[class_id]:
+            recorded.record_value(int((seconds or END_SECONDS) * 1000))
+        return recorded.get_value_at_percentile(percentile) / 1000
+
+    def share_within(self, class_id: str, target: float) -> float:
+        times = self.seconds_by_class[class_id]
+        within = sum(t is not None and t <= target for t in times)
+        return within / len(times)
+
+    @property
+    def fragmentation(self) -> float:
+        return self.scattered_time / self.idle_time
+
+
+def _run_domain(
+    deployment: streams.Deployment,
+    domain: str,
+    policy_name: str,
+    seed: int,
+    result: Result,
+) -> None:
+    stream = streams.stream(deployment, domain, seed)
+    observer = Fragmentation()
+    scheduler = schedulers.Scheduler(
+        ids.DomainId(domain),
+        random_source=random.Random(seed),
+        policy=_policy(policy_name, seed),
+    )
+    sim = simulation.Simulation(scheduler, observer=observer)
+    for worker in stream.workers:
+        sim.send(worker)
+    sim.configure(stream.configuration)
+    for job in stream.jobs:
+        sim.add_job(job)
+    for at, event in stream.faults:
+        sim.send(event, at)
+    sim.run_until(END_SECONDS, until_idle=True)
+    for job in stream.jobs:
+        why = sim.ended.get(job.job_id)
+        if job.fails or why in ('cancelled', 'may-have-run'):
+            continue
+        finished_at = sim.finished_at.get(job.job_id)
+        seconds = None if finished_at is None else finished_at - job.arrive_at
+        result.seconds_by_class[job.spec.class_id].append(seconds)
+    result.idle_time += observer.idle_time
+    result.scattered_time += observer.scattered_time
+    result.restarts += sim.restarts
+
+
+def run(task: tuple[int, str, int]) -> Result:
+    """Run all domains of a deployment: its number, the policy, the seed."""
+    number, policy_name, seed = task
+    deployment = streams.DEPLOYMENTS[number]
+    result = Result(collections.defaultdict(list))
+    for domain in deployment.domains:
+        _run_domain(deployment, domain, policy_name, seed, result)
+    result.seconds_by_class = dict(result.seconds_by_class)
+    return result
+
+
+def _spread(values: typing.Sequence[float], digits: int) -> str:
+    mean = statistics.fmean(values)
+    low, high = min(values), max(values)
+    return f'{mean:.{digits}f} ({low:.{digits}f}-{high:.{digits}f})'
+
+
+def _rows(
+    deployment: streams.Deployment,
+    results: typing.Mapping[str, list[Result]],
+) -> typing.Iterator[str]:
+    for kind in deployment.kinds:
+        for policy_name, by_seed in results.items():
+            p50 = [r.quantile(kind.class_id, 50.0) for r in by_seed]
+            p99 = [r.quantile(kind.class_id, 99.0) for r in by_seed]
+            within = [
+                100 * r.share_within(kind.class_id, kind.target)
+                for r in by_seed
+            ]
+            yield (
+                f'| {kind.class_id} ({kind.target:.0f} s) | {policy_name} '
+                f'| {_spread(p50, 0)} | {_spread(p99, 0)} '
+                f'| {_spread(within, 1)} |'
+            )
+
+
+def _fragmentation_rows(
+    results: typing.Mapping[str, list[Result]],
+) -> typing.Iterator[str]:
+    best_fit = [r.fragmentation for r in results['best-fit']]
+    for policy_name, by_seed in results.items():
+        shares = [r.fragmentation for r in by_seed]
+        lower = sum(a < b for a, b in zip(shares, best_fit))
+        restarts = [float(r.restarts) for r in by_seed]
+        percent = [100 * share for share in shares]
+        yield (
+            f'| {policy_name} | {_spread(percent, 1)} '
+            f'| {lower} of {len(shares)} | {_spread(restarts, 0)} |'
+        )
+
+
+def report(
+    number: int,
+    seeds: typing.Sequence[int],
+    map_tasks: typing.Callable[..., typing.Iterable[Result]],
+) -> typing.Iterator[str]:
+    """Yield the lines of two tables for one deployment."""
+    deployment = streams.DEPLOYMENTS[number]
+    tasks = [(number, name, seed) for name in POLICIES for seed in seeds]
+    flat = list(map_tasks(run, tasks))
+    results = {
+        name: flat[i * len(seeds):(i + 1) * len(seeds)]
+        for i, name in enumerate(POLICIES)
+    }
+    yield f'{deployment.name}, seeds {seeds[0]} to {seeds[-1]}'
+    yield ''
+    yield '| class (target) | policy | p50 s | p99 s | % within target |'
+    yield '| --- | --- | --- | --- | --- |'
+    yield from _rows(deployment, results)
+    yield ''
+    yield '| policy | % scattered | below best-fit | restarts |'
+    yield '| --- | --- | --- | --- |'
+    yield from _fragmentation_rows(results)
+    yield ''
+
+
+def main(
+    seeds: int = len(SEEDS),
+    processes: int = 2,
+    held_out: bool = False,
+) -> None:
+    """Print tables for both deployments: mean (lowest-highest) of seeds."""
+    chosen = HELD_OUT_SEEDS if held_out else SEEDS[:seeds]
+    with concurrent.futures.ProcessPoolExecutor(processes) as pool:
+        map_tasks = functools.partial(pool.map, chunksize=1)
+        for number in range(len(streams.DEPLOYMENTS)):
+            for line in report(number, chosen, map_tasks):
+                print(line, flush=True)
+
+
+if __name__ == '__main__':
+    typer.run(main)
+
+__all__ = ('Fragmentation', 'Result', 'main', 'report', 'run')
--- a/src/nutmegworks/bench/simulation.py
+++ b/src/nutmegworks/bench/simulation.py
@@ -88,6 +88,9 @@
         else:
             self._at(when, lambda: self._deliver(event))
 
+    def configure(self, configuration: work.Configuration) -> None:
+        self.send(events.ConfigurationChanged(configuration=configuration))
+
     def add_job(self, job: SimulatedJob) -> None:
         self._job_by_id[job.job_id] = job
         arrived = events.JobArrived(
--- a/src/nutmegworks/policy/scheduler.py
+++ b/src/nutmegworks/policy/scheduler.py
@@ -634,7 +634,9 @@
             if job.state is jobs.State.CLAIMING:
                 self._withdraw(job)
             if refused is not None:
-                self._give_up(job, *refused)
+                # Withdrawing it may have ended the job already.
+                if job.job_id in self.job_by_id:
+                    self._give_up(job, *refused)
             else:
                 class_by_id = self._configuration.class_by_id
                 job.work_class = class_by_id[job.spec.class_id]
--- a/tests/policy/test_scheduler.py
+++ b/tests/policy/test_scheduler.py
@@ -305,6 +305,21 @@
     assert start.at <= 60.0 + 2 * 100.0 + reserve.RESERVATION_SLACK
 
 
+def test_backfilled_job_that_outstays_its_declaration_is_reclaimed() -> None:
+    """A wrong declaration must not delay the reservation of another job."""
+    sim, seen = _simulation()
+    sim.add_job(_job('held', '3x8', at=1.0, run_time=200.0))
+    sim.add_job(_job('large', '4x8', at=10.0))
+    sim.add_job(_job('late', at=20.0, run_time=9000.0, declared=60.0))
+
+    sim.run_until(300.0)
+
+    backfilled, = seen.of(events.StartJob, 'late')
+    assert backfilled.reason is events.Reason.BACKFILLED
+    start, = seen.of(events.StartJob, 'large')
+    assert start.at <= 201.0 + reserve.RESERVATION_SLACK
+
+
 def _random_job(source: random.Random, i: int) -> simulation.SimulatedJob:
     at = source.uniform(1.0, 300.0)
     run_time = source.choice((5.0, 40.0, 200.0))
