--- a/src/nutmegworks/entry/dispatch.py
+++ b/src/nutmegworks/entry/dispatch.py
@@ -3,6 +3,7 @@
 
 import abc
 import dataclasses
+import math
 import time
 import typing
 
@@ -29,10 +30,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Selected:
-    """The upstream for one attempt."""
+    """The upstream for one attempt.
+
+    :param send_before: monotonic seconds after which nothing may be sent.
+    """
 
     upstream_id: ids.UpstreamId
     address: client.Address
+    send_before: float = math.inf
 
 
 class UpstreamSelector(abc.ABC):
@@ -192,6 +197,7 @@
             timeout,
             context.request.body,
             span.traceparent,
+            selected.send_before,
         )
         error: upstreams.CallError | None = None
         try:
--- a/src/nutmegworks/net/pool.py
+++ b/src/nutmegworks/net/pool.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import collections
+import math
 import time
 import typing
 
@@ -41,12 +42,15 @@
         max_body: int = message.MAX_BODY_BYTES,
         echo: str = '',
         fresh: bool = False,
+        send_before: float = math.inf,
     ) -> result.Result[message.Response, client.ExchangeError]:
         """Send a request over an idle or a new connection.
 
         :param timeout: seconds, including the time to connect.
         :param echo: name of a request header that the response must repeat.
         :param fresh: open a new connection even if one is idle.
+        :param send_before: seconds on the pool's clock after which nothing
+            may be sent.
         """
         started = self._clock()
         connection = None if fresh else await self._take(address)
@@ -58,7 +62,11 @@
             if isinstance(opened, result.Err):
                 return opened
             connection = opened.ok_value
-        left = max(0.001, timeout - (self._clock() - started))
+        now = self._clock()
+        if now > send_before:
+            await connection.close()
+            return result.Err(_too_late(connection))
+        left = max(0.001, timeout - (now - started))
         answer = await connection.exchange(
             request,
             timeout=left,
@@ -107,4 +115,13 @@
         self._idle_by_address.clear()
 
 
+def _too_late(connection: client.Connection) -> client.ExchangeError:
+    return client.ExchangeError(
+        client.Fault.CONNECT,
+        'the connection was ready too late',
+        False,
+        connection.exchanges == 0,
+    )
+
+
 __all__ = ('IDLE_SECONDS', 'MAX_IDLE_PER_ADDRESS', 'Pool')
--- a/src/nutmegworks/platform/upstreams.py
+++ b/src/nutmegworks/platform/upstreams.py
@@ -4,6 +4,7 @@
 import abc
 import dataclasses
 import enum
+import math
 import typing
 
 import msgspec
@@ -39,6 +40,7 @@
     """One attempt of a request.
 
     :param timeout: seconds left for the attempt.
+    :param send_before: monotonic seconds after which nothing may be sent.
     """
 
     request_id: ids.RequestId
@@ -47,6 +49,7 @@
     timeout: float
     body: bytes
     traceparent: str = ''
+    send_before: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -149,6 +152,7 @@
             timeout=call.timeout,
             echo=REQUEST_ID_HEADER,
             fresh=fresh,
+            send_before=call.send_before,
         )
         if isinstance(answer, result.Err):
             return result.Err(_exchange_failed(answer.err_value))
