daemon: route by the routing table

Cause: the selector knew neither load of other daemons, slow start nor ejection. Ruled out: a second table in the daemon; routing.table already joins them. Change: the controller owns sockets and report expiry, the table decides. Measured: tests/daemon, tests/faults, tests/routing pass (20 tests). Conclusion: leaving upstreams still get nothing after 2.5 s without a report.

--- a/src/nutmegworks/daemon/compose.py
+++ b/src/nutmegworks/daemon/compose.py
@@ -35,6 +35,7 @@
 from nutmegworks.platform import hosts
 from nutmegworks.platform import httpstore
 from nutmegworks.platform import upstreams
+from nutmegworks.routing import table
 from nutmegworks.settings import schema
 from nutmegworks.telemetry import metrics as telemetry_metrics
 from nutmegworks.telemetry import spans
@@ -82,7 +83,9 @@
         self._configuration = self._control.published
         self._upstream_client = upstreams.HttpUpstreamClient(self._pool)
         self._upstreams = daemon_upstreams.UpstreamController(
-            self._host_list, self._upstream_client
+            self._host_list,
+            self._upstream_client,
+            table.RoutingTable(ids.DomainId(settings.daemon_domain)),
         )
         self._repository = repositories.Repository(
             self._store, rng=random.SystemRandom()
--- a/src/nutmegworks/daemon/upstreams.py
+++ b/src/nutmegworks/daemon/upstreams.py
@@ -1,7 +1,6 @@
-"""Keeps the list of upstreams current and selects among them."""
+"""Keeps the knowledge of upstreams current and selects among them."""
 from __future__ import annotations
 
-import dataclasses
 import math
 import time
 import typing
@@ -14,6 +13,8 @@
 from nutmegworks.model import ids
 from nutmegworks.platform import hosts
 from nutmegworks.platform import upstreams
+from nutmegworks.routing import directory
+from nutmegworks.routing import table
 
 _LOG: typing.Final = logbook.Logger('upstreams')
 
@@ -24,19 +25,6 @@
 REPORT_VALID_SECONDS: typing.Final = 2.5
 
 
-@dataclasses.dataclass(slots=True)
-class _Known:
-    """What is known of one upstream.
-
-    :param usable_until: monotonic seconds at which its last report expires.
-    """
-
-    host: hosts.Host
-    usable_until: float = -math.inf
-    leaving: bool = False
-    outstanding: int = 0
-
-
 class UpstreamController(dispatch.UpstreamSelector):
     """Owns what this daemon knows of upstreams."""
 
@@ -44,13 +32,16 @@
         self,
         host_list: hosts.HostList,
         client: upstreams.UpstreamClient,
+        routes: table.RoutingTable,
         *,
         clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
         self._host_list = host_list
         self._client = client
+        self._routes = routes
         self._clock = clock
-        self._known_by_id: dict[ids.UpstreamId, _Known] = {}
+        # Monotonic seconds at which the last report of each expires.
+        self._usable_until_by_id: dict[ids.UpstreamId, float] = {}
 
     async def run(self) -> None:
         """Refresh until cancelled.
@@ -76,35 +67,35 @@
         if isinstance(fetched, result.Err):
             _LOG.warning('host list unavailable', detail=fetched.err_value)
             return
-        known_by_id = {}
-        for host in fetched.ok_value:
-            if host.role is not hosts.HostRole.UPSTREAM:
-                continue
-            upstream_id = ids.UpstreamId(host.host_id)
-            known = self._known_by_id.get(upstream_id) or _Known(host)
-            known.host = host
-            known_by_id[upstream_id] = known
-        added = [
-            known for upstream_id, known in known_by_id.items()
-            if upstream_id not in self._known_by_id
-        ]
-        self._known_by_id = known_by_id
+        self._routes.listed(fetched.ok_value, self._clock())
+        known = self._routes.directory.all()
+        until = self._usable_until_by_id
+        added = [item for item in known if item.upstream_id not in until]
+        self._usable_until_by_id = {
+            item.upstream_id: until.get(item.upstream_id, -math.inf)
+            for item in known
+        }
         await self._poll_all(added)
 
     async def _poll(self) -> None:
-        await self._poll_all(list(self._known_by_id.values()))
+        await self._poll_all(self._routes.directory.all())
 
-    async def _poll_all(self, known: typing.Iterable[_Known]) -> None:
+    async def _poll_all(
+        self,
+        known: typing.Iterable[directory.Known],
+    ) -> None:
         async with curio.TaskGroup() as group:
             for item in known:
                 await group.spawn(self._poll_one, item)
 
-    async def _poll_one(self, known: _Known) -> None:
+    async def _poll_one(self, known: directory.Known) -> None:
         asked = self._clock()
         report = await self._client.report(known.host.address)
-        if isinstance(report, result.Ok):
-            known.leaving = report.ok_value.leaving
-            known.usable_until = asked + REPORT_VALID_SECONDS
+        if isinstance(report, result.Err):
+            return
+        upstream_id = known.upstream_id
+        self._routes.reported(upstream_id, report.ok_value, self._clock())
+        self._usable_until_by_id[upstream_id] = asked + REPORT_VALID_SECONDS
 
     def select(
         self,
@@ -113,33 +104,31 @@
         excluded: typing.AbstractSet[ids.UpstreamId],
     ) -> dispatch.Selected | None:
         now = self._clock()
-        choices = [
-            (known.outstanding, upstream_id)
-            for upstream_id, known in self._known_by_id.items()
-            if known.host.service_id == service_id and not known.leaving
-            and known.host.state is hosts.HostState.LIVE
-            and now < known.usable_until and upstream_id not in excluded
-        ]
-        if not choices:
+        until = self._usable_until_by_id
+        expired = {item for item, moment in until.items() if moment <= now}
+        chosen = self._routes.select(
+            service_id, now, excluded=expired | excluded
+        )
+        if chosen is None:
             return None
-        upstream_id = min(choices)[1]
-        known = self._known_by_id[upstream_id]
-        known.outstanding += 1
         return dispatch.Selected(
-            upstream_id, known.host.address, known.usable_until
+            chosen.upstream_id, chosen.host.address, until[chosen.upstream_id]
         )
 
     def finished(
         self,
         upstream_id: ids.UpstreamId,
+        request_id: ids.RequestId,
         error: upstreams.CallError | None,
+        *,
+        leaving: bool = False,
     ) -> None:
-        known = self._known_by_id.get(upstream_id)
-        if known is None:
-            return
-        known.outstanding -= 1
-        if error is not None and error.leaving:
-            known.leaving = True
+        self._routes.finished(
+            upstream_id, request_id, error, self._clock(), leaving=leaving
+        )
+
+    def cancelled(self, upstream_id: ids.UpstreamId) -> None:
+        self._routes.cancelled(upstream_id)
 
 
 __all__ = ('POLL_SECONDS', 'REPORT_VALID_SECONDS', 'UpstreamController')
--- a/src/nutmegworks/entry/dispatch.py
+++ b/src/nutmegworks/entry/dispatch.py
@@ -59,9 +59,19 @@
     def finished(
         self,
         upstream_id: ids.UpstreamId,
+        request_id: ids.RequestId,
         error: upstreams.CallError | None,
+        *,
+        leaving: bool = False,
     ) -> None:
-        """Record the result of the attempt."""
+        """Record the result of an attempt of a request.
+
+        :param leaving: whether the response said that the upstream leaves.
+        """
+
+    @abc.abstractmethod
+    def cancelled(self, upstream_id: ids.UpstreamId) -> None:
+        """Record an attempt that was given up and says nothing."""
 
 
 class RetryPermit(abc.ABC):
@@ -199,19 +209,26 @@
             span.traceparent,
             selected.send_before,
         )
-        error: upstreams.CallError | None = None
         try:
             # A non-idempotent request has one attempt, so it must not be
             # written to an idle connection that may have gone silent.
             answer = await self._client.run(
                 selected.address, call, fresh=not idempotent
             )
-            error = answer.err()
-        finally:
-            self._selector.finished(selected.upstream_id, error)
-            span.attributes['upstream'] = selected.upstream_id
-            span.attributes['fault'] = error.fault.value if error else ''
-            self._tracer.finish(span)
+        except BaseException:
+            self._selector.cancelled(selected.upstream_id)
+            raise
+        error = answer.err()
+        response = answer.ok()
+        self._selector.finished(
+            selected.upstream_id,
+            context.request_id,
+            error,
+            leaving=response is not None and response.leaving,
+        )
+        span.attributes['upstream'] = selected.upstream_id
+        span.attributes['fault'] = error.fault.value if error else ''
+        self._tracer.finish(span)
         return answer
 
     def _after_error(
