bench: claims per key and batched against the store stand-in

Cause: docs/claims.md argues with worked figures; measured ones are missing. Ruled out: the stand-in in the same process; its CPU time would count as ours. Change: python -m nutmegworks.bench.claims prints a table.

--- /dev/null
+++ b/src/nutmegworks/bench/claims.py
@@ -0,0 +1,285 @@
+"""Measures what claims cost the store; runs from a source tree.
+
+The stand-in of the store runs as a process of its own and delays each call.
+"""
+from __future__ import annotations
+
+import abc
+import contextlib
+import random
+import secrets
+import subprocess
+import sys
+import time
+import typing
+
+import curio
+import msgspec
+import result
+import typer
+from hdrh import histogram
+
+from nutmegworks.claims import forwarder
+from nutmegworks.claims import key as claim_key
+from nutmegworks.claims import record
+from nutmegworks.claims import service
+from nutmegworks.model import ids
+from nutmegworks.net import client
+from nutmegworks.net import message
+from nutmegworks.net import pool
+from nutmegworks.platform import hosts
+from nutmegworks.platform import httpstore
+from nutmegworks.platform import store
+
+TEAM_ID: typing.Final = ids.TeamId('north')
+DIGEST: typing.Final = bytes(record.BODY_DIGEST_BYTES)
+# Microseconds up to a minute, three digits.
+LONGEST_MICROSECONDS: typing.Final = 60_000_000
+RUN_SECONDS: typing.Final = 0.25
+MAX_TASKS: typing.Final = 2000
+
+
+class CountingStore(httpstore.HttpStore):
+    """Counts writes and their bytes."""
+
+    writes = 0
+    written_bytes = 0
+
+    async def put(
+        self,
+        key: str,
+        value: bytes,
+        *,
+        expected: ids.StoreRevision,
+        lease_id: store.LeaseId | None = None,
+    ) -> result.Result[ids.StoreRevision, store.StoreError]:
+        self.writes += 1
+        self.written_bytes += len(value)
+        return await super().put(
+            key, value, expected=expected, lease_id=lease_id
+        )
+
+
+class Design(abc.ABC):
+    """One way to claim a key and to record its outcome."""
+
+    @abc.abstractmethod
+    async def claim(self, key: str) -> typing.Any:
+        """Return a token for ``finish``, or None if it was refused."""
+
+    @abc.abstractmethod
+    async def finish(self, key: str, token: typing.Any) -> None:
+        """Record that the request ran."""
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        await curio.sleep(LONGEST_MICROSECONDS)
+
+
+class PerKey(Design):
+    """One store key for each request: two writes."""
+
+    def __init__(self, backing: store.Store) -> None:
+        self._store = backing
+
+    async def claim(self, key: str) -> ids.StoreRevision | None:
+        put = await self._store.put(
+            f'claims/{key}', self._value('claimed'), expected=store.ABSENT
+        )
+        return put.ok()
+
+    async def finish(self, key: str, token: ids.StoreRevision) -> None:
+        await self._store.put(
+            f'claims/{key}', self._value('ran'), expected=token
+        )
+
+    def _value(self, state: str) -> bytes:
+        return msgspec.msgpack.encode([state, secrets.token_hex(16), DIGEST])
+
+
+class Forwarder(forwarder.ClaimForwarder):
+    """Hands an operation to another daemon of the same process."""
+
+    def __init__(self) -> None:
+        self.service_by_id: dict[ids.MemberId, service.ClaimService] = {}
+
+    async def forward(
+        self,
+        member_id: ids.MemberId,
+        operation: record.Operation,
+        *,
+        timeout: float,
+    ) -> result.Result[record.Reply, forwarder.ForwardError]:
+        target = self.service_by_id[member_id]
+        return result.Ok(await target.serve(operation, timeout=timeout))
+
+
+class Batched(Design):
+    """Claims grouped by shard, written by one or several daemons."""
+
+    def __init__(
+        self,
+        backing: store.Store,
+        daemons: int,
+        forwarding: bool,
+    ) -> None:
+        messages = Forwarder()
+        member_ids = [ids.MemberId(f'd{number}') for number in range(daemons)]
+        for member_id in member_ids:
+            messages.service_by_id[member_id] = service.ClaimService(
+                backing,
+                member_id=member_id,
+                incarnation=ids.Incarnation(secrets.token_hex(8)),
+                members=lambda: member_ids,
+                forwarder=messages if forwarding else None,
+            )
+        self._services = list(messages.service_by_id.values())
+        self._next = 0
+
+    async def claim(self, key: str) -> typing.Any:
+        self._next += 1
+        daemon = self._services[self._next % len(self._services)]
+        claimed = await daemon.claim(key, TEAM_ID, DIGEST, attempt_number=1)
+        if isinstance(claimed, result.Err):
+            return None
+        return daemon, claimed.ok_value.attempt_id
+
+    async def finish(self, key: str, token: typing.Any) -> None:
+        daemon, attempt_id = token
+        await daemon.finish(key, TEAM_ID, attempt_id, record.State.RAN)
+
+    async def run(self) -> None:
+        async with curio.TaskGroup(wait=any) as group:
+            for daemon in self._services:
+                await group.spawn(daemon.run)
+
+
+class Load:
+    """Sends requests at random times of a given rate."""
+
+    def __init__(self, design: Design) -> None:
+        self._design = design
+        self.latency = histogram.HdrHistogram(1, LONGEST_MICROSECONDS, 3)
+        self.granted = 0
+        self.refused = 0
+
+    async def send(self, rate: float, seconds: float, seed: int) -> None:
+        source = random.Random(seed)
+        started = time.monotonic()
+        due = 0.0
+        async with curio.TaskGroup() as group:
+            while True:
+                due += source.expovariate(rate)
+                if due >= seconds:
+                    return
+                await curio.sleep(max(0.0, started + due - time.monotonic()))
+                if len(group.children) - len(group) < MAX_TASKS:
+                    await group.spawn(self._request, started + due)
+
+    async def _request(self, due: float) -> None:
+        epoch = claim_key.epoch_at(time.time())
+        key = f'{epoch}-{secrets.token_hex(8)}'
+        token = await self._design.claim(key)
+        if token is None:
+            self.refused += 1
+            return
+        self.granted += 1
+        self.latency.record_value(int((time.monotonic() - due) * 1e6))
+        await curio.sleep(RUN_SECONDS)
+        await self._design.finish(key, token)
+
+
+@contextlib.contextmanager
+def store_process() -> typing.Iterator[client.Address]:
+    """Run the stand-in of the store as a process."""
+    process = subprocess.Popen(
+        [sys.executable, '-m', 'standins.store'],
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    try:
+        assert process.stdout is not None
+        yield hosts.parse_address(process.stdout.readline().strip())
+    finally:
+        process.terminate()
+        process.wait()
+
+
+async def _set_delay(address: client.Address, seconds: float) -> None:
+    body = msgspec.json.encode({'delay': seconds})
+    connections = pool.Pool()
+    request = message.Request('POST', '/fault', {}, body)
+    (await connections.exchange(address, request, timeout=1.0)).unwrap()
+    await connections.close()
+
+
+async def _measure(
+    address: client.Address,
+    name: str,
+    rate: float,
+    seconds: float,
+    seed: int,
+    delay: float,
+) -> str:
+    await _set_delay(address, delay)
+    backing = CountingStore(address)
+    design = _design(name, backing)
+    load = Load(design)
+    task = await curio.spawn(design.run, daemon=True)
+    used = time.process_time()
+    await load.send(rate, seconds, seed)
+    used = time.process_time() - used
+    await task.cancel()
+    latency = load.latency
+    return (
+        f'| {name} | {rate:.0f} | {load.granted / seconds:.0f} '
+        f'| {load.refused} | {backing.writes / seconds:.0f} '
+        f'| {(backing.calls - backing.writes) / seconds:.0f} '
+        f'| {backing.written_bytes / seconds / 1000:.0f} '
+        f'| {latency.get_value_at_percentile(50) / 1000:.1f} '
+        f'| {latency.get_value_at_percentile(99) / 1000:.1f} '
+        f'| {used / seconds:.0%} |'
+    )
+
+
+def _design(name: str, backing: store.Store) -> Design:
+    if name == 'per key':
+        return PerKey(backing)
+    kind, daemons = name.rsplit(' ', 1)
+    return Batched(backing, int(daemons), kind == 'batched, forwarded')
+
+
+def main(
+    rates: str = '20,100,200,400,768',
+    designs: str = 'per key;batched 1;batched, forwarded 4;batched 4',
+    seconds: float = 8.0,
+    seed: int = 1,
+    delay: float = 0.003,
+) -> None:
+    """Print a table of store load and claim latency."""
+    print(
+        '| design and daemons | requests/s | granted/s | refused | writes/s '
+        '| other calls/s | KB/s written | p50 ms | p99 ms | CPU |'
+    )
+    print('| --- |' + ' --- |' * 9)
+    for name in designs.split(';'):
+        for rate in rates.split(','):
+            with store_process() as address:
+                print(
+                    curio.run(
+                        _measure,
+                        address,
+                        name,
+                        float(rate),
+                        seconds,
+                        seed,
+                        delay,
+                    ),
+                    flush=True,
+                )
+
+
+if __name__ == '__main__':
+    typer.run(main)
+
+__all__ = ('Batched', 'CountingStore', 'Design', 'Load', 'PerKey', 'main')
