--- a/src/nutmegworks/net/pool.py
+++ b/src/nutmegworks/net/pool.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import collections
+import math
 import time
 import typing
 
@@ -41,12 +42,15 @@
         max_body: int = message.MAX_BODY_BYTES,
         echo: str = '',
         fresh: bool = False,
+        send_before: float = math.inf,
     ) -> result.Result[message.Response, client.ExchangeError]:
         """Send a request over an idle or a new connection.
 
         :param timeout: seconds, including the time to connect.
         :param echo: name of a request header that the response must repeat.
         :param fresh: open a new connection even if one is idle.
+        :param send_before: seconds on the pool's clock after which nothing
+            may be sent.
         """
         started = self._clock()
         connection = None if fresh else await self._take(address)
@@ -58,13 +62,21 @@
             if isinstance(opened, result.Err):
                 return opened
             connection = opened.ok_value
-        left = max(0.001, timeout - (self._clock() - started))
+        now = self._clock()
+        if now > send_before:
+            await connection.close()
+            return result.Err(_too_late(connection))
+        left = max(0.001, timeout - (now - started))
         answer = await connection.exchange(
             request,
             timeout=left,
             max_body=max_body,
             echo=echo,
         )
+        if isinstance(answer, result.Err) and connection.exchanges:
+            # What silenced or closed this idle connection is likely to have
+            # met the others as well; each would cost another timeout.
+            await self.discard(address)
         await self._give_back(connection)
         return answer
 
@@ -89,6 +101,12 @@
         if len(idle) > MAX_IDLE_PER_ADDRESS:
             await idle.popleft()[1].close()
 
+    async def discard(self, address: client.Address) -> None:
+        """Close all idle connections to one address."""
+        idle = self._idle_by_address.pop(address, None)
+        while idle:
+            await idle.pop()[1].close()
+
     async def retire(self) -> None:
         """Close every connection that has been idle for too long."""
         limit = self._clock() - self._idle_seconds
@@ -101,10 +119,17 @@
 
     async def close(self) -> None:
         """Close every idle connection."""
-        for idle in self._idle_by_address.values():
-            while idle:
-                await idle.pop()[1].close()
-        self._idle_by_address.clear()
+        for address in list(self._idle_by_address):
+            await self.discard(address)
+
+
+def _too_late(connection: client.Connection) -> client.ExchangeError:
+    return client.ExchangeError(
+        client.Fault.CONNECT,
+        'the connection was ready too late',
+        False,
+        connection.exchanges == 0,
+    )
 
 
 __all__ = ('IDLE_SECONDS', 'MAX_IDLE_PER_ADDRESS', 'Pool')
