entry: admission by team shares, load shedding and retry budgets wired

Cause: a burst of one team took every slot, and failing upstreams doubled the load by retries. Ruled out: a fixed concurrency limit; the usable slots come from the routing table.

--- a/src/nutmegworks/bench/claims.py
+++ b/src/nutmegworks/bench/claims.py
@@ -14,10 +14,10 @@
 import typing
 
 import curio
+from hdrh import histogram
 import msgspec
 import result
 import typer
-from hdrh import histogram
 
 from nutmegworks.claims import forwarder
 from nutmegworks.claims import key as claim_key
--- a/src/nutmegworks/daemon/compose.py
+++ b/src/nutmegworks/daemon/compose.py
@@ -15,6 +15,7 @@
 from nutmegworks.daemon import forwarder as daemon_forwarder
 from nutmegworks.daemon import spans as daemon_spans
 from nutmegworks.daemon import upstreams as daemon_upstreams
+from nutmegworks.entry import admit
 from nutmegworks.entry import authenticate
 from nutmegworks.entry import claim
 from nutmegworks.entry import classify
@@ -27,6 +28,7 @@
 from nutmegworks.entry import requests
 from nutmegworks.entry import router
 from nutmegworks.entry import trace
+from nutmegworks.limits import retries
 from nutmegworks.model import ids
 from nutmegworks.net import message
 from nutmegworks.net import pool
@@ -46,15 +48,6 @@
 RETIRE_SECONDS: typing.Final = 1.0
 
 
-class _FreeRetries(dispatch.RetryPermit):
-
-    def request_started(self, class_id: ids.ClassId) -> None:
-        pass
-
-    def allow_retry(self, class_id: ids.ClassId) -> bool:
-        return True
-
-
 class Daemon:
     """One daemon and its tasks."""
 
@@ -101,6 +94,11 @@
         )
         daemon_forwarder.register(self._control.peers, self._claims)
         self._claim_filter = claim.ClaimFilter(self._claims)
+        self._admit_filter = admit.AdmitFilter(
+            self._configuration,
+            self._upstreams.usable_slots,
+            max_per_team=settings.limits_queue,
+        )
         self._callers = server.Server(
             self._router().handle,
             limits=self._server_limits(),
@@ -118,9 +116,10 @@
         dispatcher = dispatch.Dispatcher(
             self._upstreams,
             self._upstream_client,
-            _FreeRetries(),
+            retries.RetryBudget(),
             self._tracer,
             self._metrics,
+            rng=random.SystemRandom(),
         )
         filters = (
             trace.TraceFilter(self._tracer, self._metrics),
@@ -131,6 +130,7 @@
             ),
             classify.ClassifyFilter(self._configuration),
             deadline.DeadlineFilter(longest=self._settings.limits_deadline),
+            self._admit_filter,
             self._claim_filter,
         )
         return entry_filter.chain(filters, dispatcher.dispatch)
@@ -208,6 +208,7 @@
                 for task in (
                         self._upstreams.run,
                         self._claims.run,
+                        self._admit_filter.run,
                         self._span_writer.run,
                         self._control.run,
                         self._retire_connections,
--- a/src/nutmegworks/daemon/upstreams.py
+++ b/src/nutmegworks/daemon/upstreams.py
@@ -115,6 +115,10 @@
             chosen.upstream_id, chosen.host.address, until[chosen.upstream_id]
         )
 
+    def usable_slots(self, service_id: ids.ServiceId) -> int:
+        """Return the slots that this daemon can use, at least one."""
+        return self._routes.usable_slots(service_id, self._clock())
+
     def finished(
         self,
         upstream_id: ids.UpstreamId,
--- a/src/nutmegworks/entry/deadline.py
+++ b/src/nutmegworks/entry/deadline.py
@@ -4,9 +4,12 @@
 import time
 import typing
 
+import result
+
 from nutmegworks.entry import context as entry_context
 from nutmegworks.entry import filter as entry_filter
 from nutmegworks.entry import headers
+from nutmegworks.limits import deadline
 from nutmegworks.model import verdict
 
 
@@ -33,12 +36,13 @@
         text = context.request.headers.get(headers.DEADLINE)
         left = context.entitled_class.target
         if text is not None:
-            if not text.isascii() or not text.isdigit() or len(text) > 9:
+            parsed = deadline.parse(text)
+            if isinstance(parsed, result.Err):
                 return _refuse(
                     verdict.Reason.BAD_REQUEST,
-                    f'{headers.DEADLINE} is not a number of milliseconds',
+                    f'{headers.DEADLINE} is {parsed.err_value}',
                 )
-            left = int(text) / 1000
+            left = parsed.ok_value
         context.deadline = context.received + min(left, self._longest)
         if context.deadline <= self._clock():
             return _refuse(
--- a/src/nutmegworks/entry/dispatch.py
+++ b/src/nutmegworks/entry/dispatch.py
@@ -4,6 +4,7 @@
 import abc
 import dataclasses
 import math
+import random
 import time
 import typing
 
@@ -13,6 +14,8 @@
 from nutmegworks.entry import context as entry_context
 from nutmegworks.entry import filter as entry_filter
 from nutmegworks.entry import headers
+from nutmegworks.limits import deadline
+from nutmegworks.limits import retries
 from nutmegworks.model import ids
 from nutmegworks.model import verdict
 from nutmegworks.net import client
@@ -21,9 +24,6 @@
 from nutmegworks.telemetry import metrics as telemetry_metrics
 from nutmegworks.telemetry import spans
 
-# An attempt of an idempotent request takes at most this part of the time
-# left, so that a silent connection leaves time for another attempt.
-ATTEMPT_PART_OF_TIME_LEFT: typing.Final = 0.5
 FULL_POOL_WAIT_SECONDS: typing.Final = 0.01
 NO_UPSTREAM_RETRY_SECONDS: typing.Final = 1.0
 
@@ -74,18 +74,6 @@
         """Record an attempt that was given up and says nothing."""
 
 
-class RetryPermit(abc.ABC):
-    """Says whether one more attempt may be made."""
-
-    @abc.abstractmethod
-    def request_started(self, class_id: ids.ClassId) -> None:
-        """Count a first attempt."""
-
-    @abc.abstractmethod
-    def allow_retry(self, class_id: ids.ClassId) -> bool:
-        """Take one retry from the budget, if there is one."""
-
-
 @dataclasses.dataclass(slots=True)
 class _Progress:
     """What the attempts of one request have shown so far."""
@@ -121,15 +109,17 @@
         self,
         selector: UpstreamSelector,
         upstream_client: upstreams.UpstreamClient,
-        retries: RetryPermit,
+        budget: retries.RetryBudget,
         tracer: spans.Tracer,
         metrics: telemetry_metrics.Metrics,
         *,
+        rng: random.Random,
         clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
         self._selector = selector
         self._client = upstream_client
-        self._retries = retries
+        self._budget = budget
+        self._rng = rng
         self._tracer = tracer
         self._metrics = metrics
         self._clock = clock
@@ -140,7 +130,7 @@
     ) -> entry_filter.Outcome:
         """Run the request on one upstream after another."""
         progress = _Progress()
-        self._retries.request_started(context.entitled_class.class_id)
+        self._budget.request_started(context.entitled_class.class_id)
         while True:
             selected = await self._select(context, progress)
             if selected is None:
@@ -153,6 +143,7 @@
             )
             if refused is not None:
                 return refused
+            await curio.sleep(retries.backoff(context.attempts, self._rng))
 
     async def _select(
         self,
@@ -199,7 +190,7 @@
         )
         idempotent = context.entitled_class.idempotent
         left = max(0.001, context.deadline - self._clock())
-        timeout = left * ATTEMPT_PART_OF_TIME_LEFT if idempotent else left
+        timeout = deadline.attempt_timeout(left, may_repeat=idempotent)
         call = upstreams.Call(
             ids.RequestId(f'{context.request_id}.{context.attempts}'),
             context.service_id,
@@ -255,7 +246,7 @@
         )
         if ran and not context.entitled_class.idempotent:
             return progress.refusal(reason, error.detail)
-        if not self._retries.allow_retry(class_id):
+        if not self._budget.allow_retry(class_id):
             return progress.refusal(
                 reason,
                 f'the retry budget is used up: {error.detail}',
@@ -277,9 +268,7 @@
 
 
 __all__ = (
-    'ATTEMPT_PART_OF_TIME_LEFT',
     'Dispatcher',
-    'RetryPermit',
     'Selected',
     'UpstreamSelector',
 )
--- a/src/nutmegworks/platform/upstreams.py
+++ b/src/nutmegworks/platform/upstreams.py
@@ -10,6 +10,7 @@
 import msgspec
 import result
 
+from nutmegworks.limits import deadline
 from nutmegworks.model import ids
 from nutmegworks.model import verdict
 from nutmegworks.net import client
@@ -143,7 +144,7 @@
             REQUEST_ID_HEADER: call.request_id,
             'nutmeg-service': call.service_id,
             'nutmeg-class': call.class_id,
-            'nutmeg-deadline-ms': str(int(call.timeout * 1000)),
+            'nutmeg-deadline-ms': deadline.header(call.timeout),
             'traceparent': call.traceparent,
         }
         answer = await self._pool.exchange(
--- a/src/nutmegworks/routing/table.py
+++ b/src/nutmegworks/routing/table.py
@@ -93,6 +93,22 @@
         self._outstanding_by_id[chosen.upstream_id] += 1
         return ready[chosen.upstream_id]
 
+    def usable_slots(self, service_id: ids.ServiceId, now: float) -> int:
+        """Return the slots that this daemon can use, at least one.
+
+        Slots that other daemons use by the last reports do not count.
+        """
+        ready = [item.upstream_id for item in self.directory.ready(service_id)]
+        ejected = self._health.ejected(ready, now)
+        slots = sum(
+            max(0, item.open_slots - item.others) for item in (
+                self._candidate(known, now)
+                for known in self.directory.ready(service_id)
+                if known.upstream_id not in ejected
+            )
+        )
+        return max(1, slots)
+
     def _candidate(
         self,
         known: directory.Known,
