--- a/src/nutmegworks/jobs/gang.py
+++ b/src/nutmegworks/jobs/gang.py
@@ -286,6 +286,8 @@
     # Steps of a start, in order.
 
     def _begin(self, event: Begin) -> list[Command]:
+        if self.phase is not Phase.NEW:
+            return []
         return self.reserve_all()
 
     def reserve_all(self) -> list[Command]:
@@ -331,6 +333,8 @@
     # Takeover of a committed gang.
 
     def _take_over(self, event: TakeOver) -> list[Command]:
+        if self.phase is not Phase.NEW:
+            return []
         self._committed = True
         self._taken_over = True
         self.phase = Phase.TAKING_OVER
@@ -496,8 +500,10 @@
         if event.worker_id not in self._pending:
             return []
         self._note(event)
-        if event.fault is _Fault.FENCED and self.phase is not Phase.STOPPING:
-            return self._step_down(event)
+        if event.fault is _Fault.FENCED:
+            if self.phase is not Phase.STOPPING:
+                return self._step_down(event)
+            self._outcome = Outcome.FENCED
         if event.fault in _UNANSWERED and self._may_repeat(event.worker_id):
             return [self._send(event.worker_id)]
         self._pending.discard(event.worker_id)
--- a/src/nutmegworks/jobs/repository.py
+++ b/src/nutmegworks/jobs/repository.py
@@ -189,6 +189,24 @@
         )
         return answer.map(_batch)
 
+    async def watch_job(
+        self,
+        stored: Stored,
+        *,
+        wait: float,
+    ) -> result.Result[None, _Error]:
+        """Return when one record has changed or the time is up.
+
+        :param wait: seconds.
+        """
+        job = stored.record
+        answer = await self._store.watch(
+            record.store_key(job.shard_id, job.job_id),
+            after=stored.revision,
+            wait=wait,
+        )
+        return answer.map(lambda _: None)
+
     async def put_result(
         self,
         job_id: ids.JobId,
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -291,7 +291,11 @@
             return message.json_response(404, {})
         if task.phase in ACTIVE:
             self._end(task, 'stopped', self._clock())
-        return self._answer(body.run_id)
+            return self._answer(body.run_id)
+        # Nobody needs the ended task or its result any more.
+        answer = self._answer(body.run_id)
+        del self._task_by_run[body.run_id]
+        return answer
 
     def _answer(self, run_id: str) -> message.Response:
         return message.json_response(200, self._describe(run_id))
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -70,12 +70,14 @@
     team_id: str = 'north',
     class_id: str = 'plan',
     run_time: float = 600.0,
+    payload: bytes = b'',
 ) -> work.JobSpec:
     return work.JobSpec(
         team_id=ids.TeamId(team_id),
         class_id=ids.ClassId(class_id),
         shape=shape.Shape.parse(shape_text),
         run_time=run_time,
+        payload=payload,
     )
 
 
--- a/tests/jobs/test_gang.py
+++ b/tests/jobs/test_gang.py
@@ -148,6 +148,50 @@
         assert watcher.ended.executed or not went
 
 
+@hypothesis.settings(max_examples=100, deadline=None, derandomize=True)
+@hypothesis.given(strategies.data())
+def test_two_gangs_never_wait_for_each_other(data) -> None:
+    """A gang that is refused one member must not hold on to the others."""
+    gangs = [gang.Gang(MEMBERS), gang.Gang(MEMBERS)]
+    holder_by_id: dict[ids.WorkerId, int] = {}
+    open_sends: list[tuple[int, gang.Send]] = []
+
+    def take(index: int, commands: list[gang.Command]) -> None:
+        open_sends.extend(
+            (index, command)
+            for command in commands
+            if isinstance(command, gang.Send)
+        )
+
+    for index, machine in enumerate(gangs):
+        take(index, machine.handle(gang.Begin()))
+    for _ in range(100):
+        if not open_sends:
+            break
+        # As the runner does: messages to one member keep their order.
+        first = {
+            (item[0], item[1].worker_id): item
+            for item in reversed(open_sends)
+        }
+        index, send = data.draw(strategies.sampled_from(list(first.values())))
+        open_sends.remove((index, send))
+        holder = holder_by_id.get(send.worker_id, index)
+        fault = None if holder == index else FAULT.BUSY
+        if send.step is STEP.STOP:
+            fault = None
+            if holder == index:
+                holder_by_id.pop(send.worker_id, None)
+        elif fault is None:
+            holder_by_id[send.worker_id] = index
+        take(index, gangs[index].handle(answer(send, fault)))
+    assert not open_sends, 'a gang waits for a reservation'
+    phases = {machine.phase for machine in gangs}
+    assert phases <= {gang.Phase.ENDED, gang.Phase.COMMITTING}
+    for index, machine in enumerate(gangs):
+        if machine.phase is gang.Phase.ENDED:
+            assert index not in holder_by_id.values()
+
+
 @pytest.mark.parametrize(
     ('phases', 'steps'),
     [
