jobs: run with the scheduler of package policy

Cause: the scheduler wants configuration, workers, running and waiting jobs in this order after a takeover, and refuses shapes larger than the workers it knows. Ruled out: writing every refusal of a shape, because a new owner that has not met all workers yet would fail accepted jobs for good. Change: the controller passes the configuration first and waiting jobs last, offers refused shapes again while listed workers are missing, and does not count a start that executed nothing as an attempt. The scheduler's interface is a protocol class.

--- a/src/nutmegworks/jobs/controller.py
+++ b/src/nutmegworks/jobs/controller.py
@@ -20,12 +20,14 @@
 from nutmegworks.jobs import roster
 from nutmegworks.jobs import runner
 from nutmegworks.model import ids
+from nutmegworks.model import work
 from nutmegworks.platform import workers
 from nutmegworks.policy import events
 
 TICK_SECONDS: typing.Final = 1.0
 WATCH_SECONDS: typing.Final = 20.0
 RETRY_SECONDS: typing.Final = 0.5
+OFFER_AGAIN_SECONDS: typing.Final = 5.0
 # The store returns no more changes than this from one watch.
 WATCH_LIMIT: typing.Final = 1000
 # Bounds the messages of starting gangs. Gangs that start side by side never
@@ -41,6 +43,15 @@
     }
 )
 
+_SIZE_REASONS: typing.Final = frozenset(
+    {
+        events.Reason.LARGER_THAN_WORKER,
+        events.Reason.LARGER_THAN_RACK,
+        events.Reason.LARGER_THAN_DOMAIN,
+        events.Reason.NOT_PLACEABLE,
+    }
+)
+
 _log = logbook.Logger(__name__)
 
 OnAction = typing.Callable[[events.Action], None]
@@ -53,6 +64,7 @@
 class Controller:
     """Turns the scheduler's actions into gangs and records.
 
+    :param configuration: in force now; later ones are passed by ``put``.
     :param clock: seconds since 1970.
     :param on_action: told of every action, for accounting.
     """
@@ -63,6 +75,7 @@
         shard_id: ids.ShardId,
         fencing_token: ids.FencingToken,
         scheduler: interfaces.Scheduler,
+        configuration: work.Configuration,
         jobs: repository.JobRepository,
         worker_client: workers.WorkerClient,
         list_workers: interfaces.ListWorkers,
@@ -73,6 +86,7 @@
         self._shard_id = shard_id
         self._token = fencing_token
         self._scheduler = scheduler
+        self._configuration = configuration
         self._jobs = jobs
         self._client = worker_client
         self._clock = clock
@@ -133,6 +147,10 @@
         return self._reason_by_job.get(job_id, '')
 
     async def _run(self) -> None:
+        # The scheduler refuses what it sees before its configuration.
+        await self.put(
+            events.ConfigurationChanged(configuration=self._configuration)
+        )
         # The fence goes up before the records are read, so that an earlier
         # owner can start nothing on these workers afterwards.
         await self._roster.poll_all()
@@ -147,8 +165,12 @@
     # Records.
 
     async def _load(self) -> ids.StoreRevision:
-        """Read all records; return the revision to watch from."""
+        """Read all records; return the revision to watch from.
+
+        Waiting jobs come after running ones, which hold accelerators.
+        """
         first: ids.StoreRevision | None = None
+        waiting: list[repository.Stored] = []
         after = ''
         while True:
             answer = await self._jobs.load(self._shard_id, after=after)
@@ -159,11 +181,17 @@
             batch = answer.ok_value
             first = batch.revision if first is None else first
             for stored in batch.jobs:
-                await self._take(stored)
+                if stored.record.state in record.WAITING_STATES:
+                    waiting.append(stored)
+                else:
+                    await self._take(stored)
             if not batch.last_key:
-                self._loaded = True
-                return first
+                break
             after = batch.last_key
+        for stored in waiting:
+            await self._take(stored)
+        self._loaded = True
+        return first
 
     async def _watch(self, revision: ids.StoreRevision) -> None:
         while True:
@@ -290,9 +318,17 @@
 
     async def _refuse_job(self, action: events.RefuseJob) -> None:
         self._known.discard(action.job_id)
+        if action.reason in _SIZE_REASONS and not self._roster.complete:
+            # Workers that this owner has not met yet may be large enough.
+            await self._spawn(self._offer_again, action.job_id)
+            return
         detail = f'{action.reason.value} {action.detail}'.strip()
         await self._spawn(self._write_refusal, action.job_id, detail)
 
+    async def _offer_again(self, job_id: ids.JobId) -> None:
+        await curio.sleep(OFFER_AGAIN_SECONDS)
+        await self._reconcile(job_id)
+
     async def _write_refusal(self, job_id: ids.JobId, detail: str) -> None:
 
         def refuse(job: record.JobRecord) -> dict[str, typing.Any] | None:
@@ -634,6 +670,7 @@
 __all__ = (
     'CONCURRENT_STARTS',
     'Controller',
+    'OFFER_AGAIN_SECONDS',
     'OnAction',
     'TICK_SECONDS',
     'WATCH_LIMIT',
--- a/src/nutmegworks/jobs/interfaces.py
+++ b/src/nutmegworks/jobs/interfaces.py
@@ -1,7 +1,6 @@
 """What the controller of a shard needs from others."""
 from __future__ import annotations
 
-import abc
 import dataclasses
 import typing
 
@@ -10,10 +9,9 @@
 from nutmegworks.policy import events
 
 
-class Scheduler(abc.ABC):
+class Scheduler(typing.Protocol):
     """Decides what runs where; ``policy.scheduler`` has the real one."""
 
-    @abc.abstractmethod
     def handle(
         self,
         event: events.Event,
--- a/src/nutmegworks/jobs/outcome.py
+++ b/src/nutmegworks/jobs/outcome.py
@@ -35,6 +35,9 @@
         changes.update(result_changes)
     else:
         changes['detail'] = describe(ended)
+    if not ended.executed:
+        # A start that executed nothing must not count as one that may have.
+        changes['attempts'] = job.attempts - 1
     if state in record.FINAL_STATES:
         changes['ended_at'] = now
     return changes
--- a/src/nutmegworks/jobs/roster.py
+++ b/src/nutmegworks/jobs/roster.py
@@ -52,6 +52,7 @@
 class _Worker:
     address: client.Address
     up: bool = False
+    seen: bool = False
     misses: int = 0
 
 
@@ -74,6 +75,7 @@
         self._token = fencing_token
         self._observer = observer
         self._by_id: dict[ids.WorkerId, _Worker] = {}
+        self._listed = False
         self._polling = curio.Semaphore(CONCURRENT_POLLS)
 
     @property
@@ -81,6 +83,13 @@
         """Addresses of all listed workers."""
         return {key: item.address for key, item in self._by_id.items()}
 
+    @property
+    def complete(self) -> bool:
+        """Whether every listed worker has been up since the takeover."""
+        return self._listed and all(
+            worker.seen for worker in self._by_id.values()
+        )
+
     def is_up(self, worker_id: ids.WorkerId) -> bool:
         """Return whether a worker is up and fenced."""
         worker = self._by_id.get(worker_id)
@@ -106,6 +115,7 @@
         hosts = await self._list_workers()
         if hosts is None:
             return
+        self._listed = True
         for host in hosts:
             known = self._by_id.get(host.worker_id)
             if known is None:
@@ -153,7 +163,7 @@
         worker = self._by_id[worker_id]
         if not await self._raise_fence(worker):
             return
-        worker.up = True
+        worker.up = worker.seen = True
         await self._observer.worker_changed(
             events.WorkerUp(
                 worker_id=worker_id,
--- a/tests/jobs/fakes.py
+++ b/tests/jobs/fakes.py
@@ -3,6 +3,7 @@
 
 import collections
 import contextlib
+import random
 import typing
 
 import curio
@@ -20,6 +21,7 @@
 from nutmegworks.platform import store
 from nutmegworks.platform import workers
 from nutmegworks.policy import events
+from nutmegworks.policy import scheduler as policy_scheduler
 from standins import store as store_stand_in
 from standins import worker as worker_stand_in
 from tests import builders
@@ -28,6 +30,14 @@
 SHARD: typing.Final = ids.ShardId('amman-north')
 CALL_SECONDS: typing.Final = 0.3
 MAX_ATTEMPTS: typing.Final = 6
+CONFIGURATION: typing.Final = builders.configuration(
+    builders.work_class('plan', target=600.0, teams=('north', 'south')),
+    builders.work_class('once', idempotent=False, teams=('north', 'south')),
+    teams=(
+        builders.team('north'),
+        builders.team('south', guarantees={SHARD: ('1x8', )}),
+    ),
+)
 
 
 class FirstFit(interfaces.Scheduler):
@@ -251,7 +261,7 @@
         at: Cluster,
         token: int,
         life: Life,
-        scheduler: FirstFit,
+        scheduler: interfaces.Scheduler,
     ) -> None:
         self.life = life
         self.scheduler = scheduler
@@ -260,6 +270,7 @@
             shard_id=SHARD,
             fencing_token=ids.FencingToken(token),
             scheduler=self.scheduler,
+            configuration=CONFIGURATION,
             jobs=repository.JobRepository(self.store),
             worker_client=MortalWorkers(life),
             list_workers=at.list_workers,
@@ -316,12 +327,19 @@
         seconds: float = 0.3,
         idempotent: bool = True,
         result_bytes: int = 0,
+        team_id: str = 'north',
     ) -> ids.JobId:
+        class_id = ids.ClassId('plan' if idempotent else 'once')
         payload = {'run_seconds': seconds, 'result_bytes': result_bytes}
         answer = await self.service.accept(
-            ids.TeamId('north'),
-            builders.work_class(idempotent=idempotent),
-            builders.job_spec(shape, payload=msgspec.json.encode(payload)),
+            ids.TeamId(team_id),
+            CONFIGURATION.class_by_id[class_id],
+            builders.job_spec(
+                shape,
+                team_id=team_id,
+                class_id=class_id,
+                payload=msgspec.json.encode(payload),
+            ),
             ids.IdempotencyKey(key),
             'digest',
         )
@@ -345,8 +363,14 @@
         life: Life | None = None,
         checkpoint: bool = False,
         reverse: bool = False,
+        real: bool = False,
     ) -> Owner:
         scheduler = FirstFit(checkpoint_on_start=checkpoint, reverse=reverse)
+        if real:
+            scheduler = policy_scheduler.Scheduler(
+                ids.DomainId(SHARD),
+                random_source=random.Random(1),
+            )
         owner = Owner(self, token, life or Life(), scheduler)
         await owner.start()
         return owner
--- a/tests/jobs/test_controller.py
+++ b/tests/jobs/test_controller.py
@@ -66,11 +66,20 @@
     helpers.run(main)
 
 
-@pytest.mark.parametrize('idempotent', [True, False])
-@pytest.mark.parametrize('late', [False, True])
+@pytest.mark.parametrize(
+    ('idempotent', 'late', 'real'),
+    [
+        (True, False, False),
+        (True, True, False),
+        (False, False, False),
+        (False, True, False),
+        (False, False, True),
+    ],
+)
 def test_owner_dies_between_any_two_messages(
     idempotent: bool,
     late: bool,
+    real: bool,
 ) -> None:
     """A new owner must roll a start forward or back, never do half of it.
 
@@ -81,14 +90,14 @@
     async def trial(number: int, after: bool) -> None:
         async with fakes.cluster() as at:
             life = fakes.Life(number, after=after)
-            first = await at.owner(1, life=life)
+            first = await at.owner(1, life=life, real=real)
             job_id = await at.accept(idempotent=idempotent)
             async with curio.ignore_after(4.0):
                 await life.halted.wait()
             await first.kill()
             if late:
                 await curio.sleep(STAGED_LEASE + 0.1)
-            await at.owner(2)
+            await at.owner(2, real=real)
             view = await at.ended(job_id)
             assert view.state is STATE.DONE or (late and not idempotent)
             await fakes.check_promises(at, size=2, bound=BOUND)
@@ -281,6 +290,26 @@
     helpers.run(main)
 
 
+def test_reclaimed_job_resumes_as_the_same_run() -> None:
+    """A team's guarantee must be served, and the borrower's work kept."""
+
+    async def main() -> None:
+        async with fakes.cluster(count=1) as at:
+            await at.owner(1, real=True)
+            lent = await at.accept('a', shape='1x8', seconds=2.0)
+            await curio.sleep(0.6)
+            owned = await at.accept('b', shape='1x8', team_id='south')
+            assert (await at.ended(owned)).state is STATE.DONE
+            assert (await at.ended(lent)).state is STATE.DONE
+            runs = [run for _, run in at.executions()]
+            assert [run.outcome
+                    for run in runs] == ['stopped', 'finished', 'finished']
+            assert runs[0].run_id == runs[2].run_id and runs[2].checkpoint
+            await fakes.check_promises(at, size=1, bound=BOUND)
+
+    helpers.run(main)
+
+
 def test_cancellation_wave() -> None:
     """Cancelled jobs must all end, once, and leave no task behind."""
 
