policy: stop two livelocks of reclaim

A team's guaranteed job and its own borrowing job stopped each other; and a job that had overrun its estimate seemed to have no time left, so it was backfilled again and again. A job once backfilled was also reclaimed in later attempts. Ruled out: a limit of preemptions per job; it would break reclaim. Change: a team stops its own work only for urgent work; remaining time is never 0; a reservation forgets ended attempts; a team respects the reservation of its own job.

--- a/src/nutmegworks/policy/cluster.py
+++ b/src/nutmegworks/policy/cluster.py
@@ -24,6 +24,7 @@
     :ivar soft: held by borrowers that urgent work may stop.
     :ivar bound_by_team: set aside for unused and used guarantees.
     :ivar held_shared: kept for the job with the domain's reservation.
+    :ivar held_shared_by: the team of that job.
     :ivar held_team: kept for a team's reservation in its own guarantee.
     """
 
@@ -40,6 +41,7 @@
         'soft',
         'bound_by_team',
         'held_shared',
+        'held_shared_by',
         'held_team',
     )
 
@@ -61,6 +63,7 @@
         self.soft = 0
         self.bound_by_team: dict[ids.TeamId, int] = {}
         self.held_shared = 0
+        self.held_shared_by: ids.TeamId | None = None
         self.held_team = 0
 
     @property
@@ -159,6 +162,9 @@
         usable = available & ~worker.used & ~worker.held_team
         for team_id, mask in worker.bound_by_team.items():
             unused = mask & usable
+            if team_id == worker.held_shared_by:
+                # A team's jobs respect the reservation of its own job.
+                unused &= ~worker.held_shared
             self._set(self.unused(team_id), worker, unused)
             self._set(self.idle(team_id), worker, unused & ~taken)
 
--- a/src/nutmegworks/policy/job.py
+++ b/src/nutmegworks/policy/job.py
@@ -96,11 +96,26 @@
 
     def expected_end(self, now: float) -> float:
         """Return seconds at which a running job is expected to end."""
-        end = self.started_at + self.estimate - self.progress
-        if end > now:
-            return end
-        elapsed = now - self.started_at
-        return now + max(_MIN_REMAINING, elapsed * _OVERRUN_SHARE)
+        done = self.progress
+        if self.checkpoint_at is None:
+            done += now - self.started_at
+        else:
+            done += now - self.checkpoint_at
+        return now + self._remaining_after(done)
+
+    @property
+    def remaining(self) -> float:
+        """Seconds of work expected from the last checkpoint on.
+
+        It is never taken as 0: a job that overran its estimate would look
+        short enough for any gap, again and again.
+        """
+        return self._remaining_after(self.progress)
+
+    def _remaining_after(self, done: float) -> float:
+        if done < self.estimate:
+            return self.estimate - done
+        return max(_MIN_REMAINING, done * _OVERRUN_SHARE)
 
     def lost_work(self, now: float) -> float:
         """Return accelerator-seconds lost if the job were stopped now."""
--- a/src/nutmegworks/policy/reclaim.py
+++ b/src/nutmegworks/policy/reclaim.py
@@ -8,6 +8,7 @@
 import dataclasses
 import heapq
 import itertools
+import math
 import typing
 
 from nutmegworks.model import ids
@@ -99,7 +100,7 @@
     """Chooses the blocks whose occupants lose the least work.
 
     :param lost_work: accelerator-seconds lost by stopping a job; 0 if it is
-        being stopped anyway.
+        being stopped anyway; infinite if it must not be stopped.
     """
 
     def __init__(
@@ -171,6 +172,8 @@
                      for i in victims), block)
                 for block, victims in options.items()
             )
+            if cost == math.inf:
+                break
             for job_id in options.pop(block):
                 # A victim is paid for once.
                 cost_by_job[job_id] = 0.0
@@ -183,8 +186,9 @@
         worker_id: ids.WorkerId,
         block: int,
     ) -> list[ids.JobId]:
-        occupants = self._cluster.worker_by_id[worker_id].occupants
-        return [i for i, mask in occupants.items() if mask & block]
+        worker = self._cluster.worker_by_id[worker_id]
+        held = [*worker.occupants.items(), *worker.claims.items()]
+        return [i for i, mask in held if mask & block]
 
 
 def _options(mask: int, size: int, limit: int) -> list[int]:
--- a/src/nutmegworks/policy/reserve.py
+++ b/src/nutmegworks/policy/reserve.py
@@ -114,6 +114,11 @@
             del self.by_team[reservation.team_id]
         self._set_held(reservation, False)
 
+    def attempt_ended(self, job: jobs.Job) -> None:
+        """Forget that an attempt was backfilled."""
+        for reservation in self.visible_to(job):
+            reservation.backfilled.discard(job.job_id)
+
     def idle_part(self, reservation: Reservation) -> capacity.CapacityIndex:
         """Return the idle accelerators of a reservation."""
         index = capacity.CapacityIndex()
@@ -131,6 +136,8 @@
             name = 'held_team' if reservation.in_guarantee else 'held_shared'
             mask = getattr(worker, name) & ~block.mask
             setattr(worker, name, mask | block.mask if held else mask)
+            if not reservation.in_guarantee:
+                worker.held_shared_by = reservation.team_id if held else None
             self._cluster.refresh(worker)
 
     def _in_guarantee(self, job: jobs.Job, now: float) -> Reservation | None:
--- a/src/nutmegworks/policy/scheduler.py
+++ b/src/nutmegworks/policy/scheduler.py
@@ -353,6 +353,7 @@
 
     def _release(self, job: jobs.Job, reason: events.Reason) -> None:
         worker_ids = self._lifecycle.release(job, self._now, reason)
+        self._book.attempt_ended(job)
         self._capacity_changed = True
         claimants: dict[ids.JobId, None] = {}
         for worker_id in worker_ids:
--- a/src/nutmegworks/policy/starts.py
+++ b/src/nutmegworks/policy/starts.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import typing
 
 from nutmegworks.model import ids
@@ -48,6 +49,7 @@
         self._policy = policy
         self._job_of = job_of
         self._now = 0.0
+        self._planned: jobs.Job | None = None
         self._victims = reclaim.VictimChooser(cluster, self._lost_work)
 
     def plan(self, job: jobs.Job, now: float) -> Plan | None:
@@ -57,6 +59,7 @@
         be carried out or dropped at once.
         """
         self._now = now
+        self._planned = job
         for attempt in (
                 self._idle_guarantee,
                 self._moved_guarantee,
@@ -81,7 +84,7 @@
         request = placement.Request(
             job.spec.shape,
             job.excluded(self._now),
-            self._now + job.estimate - job.progress,
+            self._now + job.remaining,
             self._end_on_worker,
         )
         return self._policy.choose(index, request)
@@ -159,7 +162,7 @@
     def _backfilled(self, job: jobs.Job) -> Plan | None:
         if not job.reclaimable:
             return None
-        end = self._now + job.estimate - job.progress
+        end = self._now + job.remaining
         for reservation in self._book.visible_to(job):
             if reservation.job_id == job.job_id or end > reservation.ready_at:
                 continue
@@ -175,7 +178,16 @@
 
     def _lost_work(self, job_id: ids.JobId) -> float:
         job = self._job_of(job_id)
-        if job.state is not jobs.State.RUNNING:
+        if job.state is jobs.State.STOPPING:
+            return 0.0
+        planned = self._planned
+        assert planned is not None
+        same_team = job.spec.team_id == planned.spec.team_id
+        if same_team and (job.urgent or not planned.urgent):
+            # A team gains nothing by stopping its own work; two of its jobs
+            # would stop each other for ever.
+            return math.inf
+        if job.state is jobs.State.CLAIMING:
             return 0.0
         return job.lost_work(self._now)
 
--- a/tests/policy/test_scheduler.py
+++ b/tests/policy/test_scheduler.py
@@ -199,6 +199,18 @@
     assert not seen.of(events.StopJob, 'old')
 
 
+def test_team_does_not_reclaim_from_itself() -> None:
+    """Two jobs of one team once stopped each other for ever."""
+    sim, seen = _simulation({'north': ('2x8', )})
+    sim.add_job(_job('large', '4x8', run_time=300.0))
+    sim.add_job(_job('small', '2x8', at=20.0, run_time=300.0))
+    sim.add_job(_job('other', '2x8', team='west', at=10.0, run_time=300.0))
+
+    sim.run_until(2000.0, until_idle=True)
+
+    assert set(seen.starts.values()) == {1}
+
+
 @pytest.mark.parametrize('work_class', ['firm', 'bill'])
 def test_unstoppable_work_never_takes_a_guarantee(work_class: str) -> None:
     """Neither uninterruptible nor billed work may block a reclaim."""
@@ -364,3 +376,16 @@
         if first.class_id == 'bill':
             resumed = [s.resume for s in seen.of(events.StartJob, job_id)]
             assert all(resumed[1:]), 'billed work was restarted'
+
+
+def test_job_that_overran_is_not_backfilled_again_and_again() -> None:
+    """An overrun estimate once looked like a job with no time left."""
+    sim, seen = _simulation()
+    sim.add_job(_job('held', '3x8', at=1.0, run_time=500.0))
+    sim.add_job(_job('large', '4x8', at=10.0, run_time=100.0))
+    sim.add_job(_job('late', '1x8', at=20.0, run_time=9000.0, declared=480.0))
+    sim.add_job(_job('slow', '3x8', at=0.5, run_time=300.0, declared=1.0))
+
+    sim.run_until(900.0)
+
+    assert max(seen.starts.values()) <= 3, seen.starts
