--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -1,6 +1,7 @@
 """Starts daemons and stand-ins as processes, for tests and for the demo."""
 from __future__ import annotations
 
+import base64
 import contextlib
 import dataclasses
 import hashlib
@@ -60,6 +61,16 @@
     return Reply(status, headers, response.read())
 
 
+def json_of(reply: Reply) -> typing.Any:
+    """Return the value of a JSON body."""
+    return json.loads(reply.body)
+
+
+def encoded(body: bytes) -> str:
+    """Return a body as the stand-ins list it."""
+    return base64.b64encode(body).decode()
+
+
 def free_port() -> int:
     with socket.socket() as sock:
         sock.bind(('127.0.0.1', 0))
@@ -317,7 +328,9 @@
     'TEAM_TOKEN',
     'call',
     'cluster',
+    'encoded',
     'free_port',
+    'json_of',
     'key',
     'wait_until',
 )
--- a/standins/disturbances.py
+++ b/standins/disturbances.py
@@ -100,7 +100,7 @@
     'delay': 0.3,
     'lose_answers': 20,
     'drop_writes': 20,
-    'stale_reads': 3,
+    'stale_reads': 30,
     'rate': 40.0,
 }
 # Faults during which the store can't tell a daemon what is current.
