--- a/src/nutmegworks/policy/shapes.py
+++ b/src/nutmegworks/policy/shapes.py
@@ -94,19 +94,29 @@
 
     # Configuration.
 
-    def configure(self, configuration: work.Configuration) -> None:
+    def configure(
+        self,
+        configuration: work.Configuration,
+        on_dropped: typing.Callable[[set[ids.WorkerId]], None] | None = None,
+    ) -> None:
         """Adopt the guarantees of a configuration.
 
-        Slots of shapes that a team keeps stay where they are. The caller
-        must then charge work in dropped slots as borrowed.
+        Slots of shapes that a team keeps stay where they are.
+
+        :param on_dropped: called with the workers of dropped slots before
+            new ones are bound; it must charge the work there as borrowed.
         """
         wanted = _wanted_shapes(configuration, self._domain_id)
+        dropped: set[ids.WorkerId] = set()
         for slot in list(self.slot_by_id.values()):
             key = (slot.team_id, slot.shape)
             if wanted[key]:
                 wanted[key] -= 1
             else:
+                dropped.update(block.worker_id for block in slot.blocks)
                 self._drop(slot)
+        if dropped and on_dropped is not None:
+            on_dropped(dropped)
         added = []
         for (team_id, shape), count in wanted.items():
             added += [self._add(team_id, shape) for _ in range(count)]
@@ -310,8 +320,10 @@
         displaced = self._slots_on(blocks)
         if len(displaced) > MAX_SLOTS_MOVED:
             return False
-        if any(self._used(block) for block in blocks):
-            return False
+        for slot in displaced:
+            # A block in use cannot move, not even its unused part.
+            if any(self._used(b) for b in self._overlapping(slot, blocks)):
+                return False
         before = {slot.slot_id: slot.blocks for slot in displaced}
         self._mark_firm(blocks, True)
         for slot in displaced:
@@ -320,20 +332,16 @@
                 break
         else:
             return True
-        if self._reembed_around(displaced, blocks):
+        if self._reembed():
             return True
         self._mark_firm(blocks, False)
         return False
 
-    def _reembed_around(
-        self,
-        displaced: list[Slot],
-        blocks: typing.Sequence[capacity.Block],
-    ) -> bool:
-        for slot in displaced:
-            if any(self._used(b) for b in self._overlapping(slot, blocks)):
-                return False
-        return self._reembed()
+    def displace(self, blocks: typing.Sequence[capacity.Block]) -> None:
+        """Take slots off blocks on which unstoppable work runs already."""
+        for slot in self._slots_on(blocks):
+            self._unbind(slot, self._overlapping(slot, blocks))
+            self.unplaced[slot.slot_id] = None
 
     def _mark_firm(
         self,
