--- a/src/nutmegworks/configuration/controller.py
+++ b/src/nutmegworks/configuration/controller.py
@@ -49,6 +49,13 @@
         """Serve the messages of the configuration."""
         self.fanout.register(target)
 
+    async def step(self) -> bool:
+        """Call the store once if that is this daemon's turn.
+
+        :return: whether it was.
+        """
+        return await self._watcher.step()
+
     async def run(self) -> None:
         """Follow the store and the peers until cancelled."""
         async with curio.TaskGroup() as group:
--- a/src/nutmegworks/configuration/watcher.py
+++ b/src/nutmegworks/configuration/watcher.py
@@ -61,11 +61,11 @@
         await curio.sleep(self._rng.uniform(0, SPACING_SECONDS))
         while True:
             started = self._clock()
-            acted = await self._round()
+            acted = await self.step()
             pause = self._pause(acted)
             await curio.sleep(max(0.0, pause - (self._clock() - started)))
 
-    async def _round(self) -> bool:
+    async def step(self) -> bool:
         """Call the store if that is this daemon's turn."""
         if self._view.is_reader():
             done = await self._follow()
--- a/tests/configuration/memorystore.py
+++ b/tests/configuration/memorystore.py
@@ -115,7 +115,16 @@
         after: ids.StoreRevision,
         wait: float,
     ) -> result.Result[store.Page, store.StoreError]:
-        raise NotImplementedError
+        lag = self.stale.pop(0) if self.stale else 0
+        found = []
+        for key in self.keys(prefix):
+            revision, value = self._read(key, lag)
+            if revision > after:
+                found.append(
+                    store.Entry(key, ids.StoreRevision(revision), value)
+                )
+        latest = ids.StoreRevision(self.revision)
+        return result.Ok(store.Page(tuple(found), latest))
 
     async def grant_lease(
         self,
