daemon: scheduling shard, jobs, account and status wired

Cause: jobs were accepted by no daemon. Ruled out: asking every worker for its size from every daemon; the host list gives accelerators. Change: ownership, job controller, scheduler, accountant and account store in the daemon; job, account and status endpoints and commands. Conclusion: a gang job has not been run through processes yet.

--- a/examples/demo.py
+++ b/examples/demo.py
@@ -93,7 +93,7 @@
         self._directory = directory
         self._processes: list[subprocess.Popen[bytes]] = []
         self._daemon_by_address: dict[str, subprocess.Popen[bytes]] = {}
-        self._hosts: list[dict[str, str]] = []
+        self._hosts: list[dict[str, typing.Any]] = []
         self._upstreams: list[str] = []
         self._workers: list[str] = []
         self._token = ''
@@ -135,7 +135,12 @@
         assert process.stdout is not None
         return process.stdout.readline().decode().strip()
 
-    def _add_host(self, host_id: str, role: str, **fields: str) -> None:
+    def _add_host(
+        self,
+        host_id: str,
+        role: str,
+        **fields: typing.Any,
+    ) -> None:
         self._hosts.append(
             {
                 'host_id': host_id,
@@ -176,7 +181,12 @@
         address = self._stand_in('worker', '--worker-id', name, '--rack', rack)
         self._workers.append(address)
         self._add_host(
-            name, 'worker', address=address, domain=domain, rack=rack
+            name,
+            'worker',
+            address=address,
+            domain=domain,
+            rack=rack,
+            accelerators=8,
         )
 
     def _add_daemon(self, path: pathlib.Path) -> None:
--- a/src/nutmegworks/cli/main.py
+++ b/src/nutmegworks/cli/main.py
@@ -11,6 +11,7 @@
 from nutmegworks.cli import jobs
 from nutmegworks.cli import output
 from nutmegworks.cli import session
+from nutmegworks.cli import status
 from nutmegworks.cli import teams
 
 app = typer.Typer(
@@ -23,6 +24,8 @@
 app.add_typer(config.app, name='config')
 app.add_typer(jobs.app, name='job')
 app.command('explain')(jobs.explain)
+app.command('status')(status.status)
+app.command('account')(status.account)
 
 
 @app.callback()
--- a/src/nutmegworks/daemon/compose.py
+++ b/src/nutmegworks/daemon/compose.py
@@ -11,10 +11,14 @@
 
 from nutmegworks.claims import service as claim_service
 from nutmegworks.configuration import repository as repositories
+from nutmegworks.daemon import accounts as daemon_accounts
 from nutmegworks.daemon import control
 from nutmegworks.daemon import forwarder as daemon_forwarder
+from nutmegworks.daemon import scheduling
 from nutmegworks.daemon import spans as daemon_spans
 from nutmegworks.daemon import upstreams as daemon_upstreams
+from nutmegworks.daemon import workers as daemon_workers
+from nutmegworks.entry import account as accounts_entry
 from nutmegworks.entry import admit
 from nutmegworks.entry import authenticate
 from nutmegworks.entry import claim
@@ -22,6 +26,7 @@
 from nutmegworks.entry import deadline
 from nutmegworks.entry import dispatch
 from nutmegworks.entry import filter as entry_filter
+from nutmegworks.entry import jobs
 from nutmegworks.entry import keyverdict
 from nutmegworks.entry import operators
 from nutmegworks.entry import readiness
@@ -30,6 +35,7 @@
 from nutmegworks.entry import trace
 from nutmegworks.limits import retries
 from nutmegworks.model import ids
+from nutmegworks.model import work
 from nutmegworks.net import message
 from nutmegworks.net import pool
 from nutmegworks.net import server
@@ -37,6 +43,7 @@
 from nutmegworks.platform import hosts
 from nutmegworks.platform import httpstore
 from nutmegworks.platform import upstreams
+from nutmegworks.policy import shapes
 from nutmegworks.routing import table
 from nutmegworks.settings import schema
 from nutmegworks.telemetry import metrics as telemetry_metrics
@@ -81,7 +88,13 @@
             table.RoutingTable(ids.DomainId(settings.daemon_domain)),
         )
         self._repository = repositories.Repository(
-            self._store, rng=random.SystemRandom()
+            self._store,
+            rng=random.SystemRandom(),
+            guarantee_check=self._check_guarantees,
+        )
+        self._workers = daemon_workers.WorkerDirectory(self._host_list)
+        self._scheduling = scheduling.Scheduling(
+            settings, self._store, self._configuration, self._workers
         )
         self._claims = claim_service.ClaimService(
             self._store,
@@ -112,7 +125,16 @@
             message_seconds=self._settings.limits_message_time,
         )
 
-    def _chain(self) -> entry_filter.Proceed:
+    def _check_guarantees(
+        self,
+        configuration: work.Configuration,
+    ) -> typing.Iterable[str]:
+        return shapes.check_guarantees(configuration, self._workers.racks())
+
+    def _chain(
+        self,
+        token_index: authenticate.TokenIndex,
+    ) -> entry_filter.Proceed:
         dispatcher = dispatch.Dispatcher(
             self._upstreams,
             self._upstream_client,
@@ -125,9 +147,7 @@
             trace.TraceFilter(self._tracer, self._metrics),
             keyverdict.KeyVerdictFilter(),
             readiness.ReadinessFilter(self._configuration),
-            authenticate.AuthenticateFilter(
-                authenticate.TokenIndex(self._configuration)
-            ),
+            authenticate.AuthenticateFilter(token_index),
             classify.ClassifyFilter(self._configuration),
             deadline.DeadlineFilter(longest=self._settings.limits_deadline),
             self._admit_filter,
@@ -136,16 +156,31 @@
         return entry_filter.chain(filters, dispatcher.dispatch)
 
     def _router(self) -> router.Router:
-        endpoint = requests.RequestEndpoint(self._chain())
+        token_index = authenticate.TokenIndex(self._configuration)
+        endpoint = requests.RequestEndpoint(self._chain(token_index))
         tokens = operators.OperatorTokens(self._settings.operators_digests)
         config = operators.ConfigurationEndpoint(
             self._repository, self._control.configuration.holder.take_changes
         )
+        job_endpoint = jobs.JobEndpoint(
+            self._scheduling.jobs, self._configuration, token_index, tokens
+        )
+        account = accounts_entry.AccountEndpoint(
+            daemon_accounts.AccountStore(self._store)
+        )
         return router.Router(
             (
                 router.route(
                     'POST', '/v1/services/<service>/requests', endpoint.handle
                 ),
+                router.route('POST', '/v1/jobs', job_endpoint.submit),
+                router.route('GET', '/v1/jobs/<id>', job_endpoint.wait),
+                router.route('DELETE', '/v1/jobs/<id>', job_endpoint.cancel),
+                router.route(
+                    'GET', '/v1/jobs/<id>/explain', job_endpoint.explain
+                ),
+                router.route('GET', '/v1/account', tokens.guard(account.show)),
+                router.route('GET', '/v1/status', tokens.guard(self._status)),
                 router.route('GET', '/v1/health', self._health),
                 router.route('GET', '/v1/ready', self._ready),
                 router.route('GET', '/metrics', self._render_metrics),
@@ -159,6 +194,34 @@
             )
         )
 
+    async def _status(
+        self,
+        request: message.Request,
+        parameters: typing.Mapping[str, str],
+    ) -> message.Response:
+        value = {
+            'host_id':
+            self._member_id,
+            'incarnation':
+            self._incarnation,
+            'domain':
+            self._settings.daemon_domain,
+            'stopping':
+            self._stopping,
+            'shard_owner':
+            self._scheduling.owner_id,
+            'members': [
+                {
+                    'member': member.member_id,
+                    'domain': member.domain_id,
+                    'state': member.state.value,
+                } for member in self._control.table.all()
+            ],
+            'upstreams':
+            self._upstreams.states(),
+        }
+        return message.json_response(200, value)
+
     async def _health(
         self,
         request: message.Request,
@@ -191,6 +254,7 @@
         if self._configuration.value is not None:
             sequence = self._configuration.value.sequence
             self._metrics.config_sequence.set({}, sequence)
+        self._metrics.shards_owned.set({}, int(self._scheduling.owns_shard))
         self._metrics.store_calls.set({}, self._store.calls)
         return self._metrics.render()
 
@@ -209,6 +273,8 @@
                         self._upstreams.run,
                         self._claims.run,
                         self._admit_filter.run,
+                        self._workers.run,
+                        self._scheduling.run,
                         self._span_writer.run,
                         self._control.run,
                         self._retire_connections,
@@ -223,6 +289,7 @@
         self._stopping = True
         self._callers.announce_stop()
         await self._control.leave()
+        await self._scheduling.leave()
         # The balancer goes on sending until it has seen that this daemon is
         # not ready.
         await curio.sleep(self._settings.stop_grace)
@@ -237,6 +304,7 @@
             await curio.sleep(RETIRE_SECONDS)
             await self._pool.retire()
             await self._control.retire_connections()
+            await self._scheduling.retire_connections()
 
 
 __all__ = ('Daemon', )
--- a/src/nutmegworks/daemon/upstreams.py
+++ b/src/nutmegworks/daemon/upstreams.py
@@ -119,6 +119,26 @@
         """Return the slots that this daemon can use, at least one."""
         return self._routes.usable_slots(service_id, self._clock())
 
+    def states(self) -> list[dict[str, typing.Any]]:
+        """Return what an operator wants to know of each upstream."""
+        now = self._clock()
+        return [
+            {
+                'upstream':
+                known.upstream_id,
+                'domain':
+                known.host.domain_id,
+                'leaving':
+                not known.is_ready,
+                'reports':
+                now < self._usable_until_by_id.get(known.upstream_id, now),
+                'busy':
+                known.busy,
+                'slots':
+                known.slots,
+            } for known in self._routes.directory.all()
+        ]
+
     def finished(
         self,
         upstream_id: ids.UpstreamId,
--- /dev/null
+++ b/src/nutmegworks/entry/account.py
@@ -0,0 +1,64 @@
+"""The account that the parent organisation reads."""
+from __future__ import annotations
+
+import abc
+import time
+import typing
+
+import result
+
+from nutmegworks.accounting import report
+from nutmegworks.model import verdict
+from nutmegworks.net import message
+from nutmegworks.net import server
+from nutmegworks.platform import store
+
+Parameters = typing.Mapping[str, str]
+
+
+class Accounts(typing.Protocol):
+    """Where the accounts of all shards are kept."""
+
+    @abc.abstractmethod
+    async def merged(
+        self,
+        now_ms: int,
+    ) -> result.Result[report.Report, store.StoreError]:
+        """Return the account of all shards and days.
+
+        :param now_ms: milliseconds since 1970.
+        """
+
+
+class AccountEndpoint:
+    """Handles ``GET /v1/account``; the command renders the report."""
+
+    def __init__(
+        self,
+        accounts: Accounts,
+        *,
+        clock: typing.Callable[[], float] = time.time,
+    ) -> None:
+        self._accounts = accounts
+        self._clock = clock
+
+    async def show(
+        self,
+        request: message.Request,
+        parameters: Parameters,
+    ) -> message.Response:
+        """Return the report as JSON."""
+        merged = await self._accounts.merged(int(self._clock() * 1000))
+        if isinstance(merged, result.Err):
+            return server.refusal_response(
+                verdict.did_not_run(
+                    verdict.Reason.STORE_UNAVAILABLE,
+                    merged.err_value.detail,
+                    retry_after=1.0,
+                )
+            )
+        headers = {'content-type': 'application/json'}
+        return message.Response(200, headers, merged.ok_value.to_json())
+
+
+__all__ = ('AccountEndpoint', 'Accounts')
--- a/src/nutmegworks/jobs/service.py
+++ b/src/nutmegworks/jobs/service.py
@@ -129,6 +129,14 @@
             accepted_at=self._clock(),
         )
 
+    async def team(
+        self,
+        job_id: ids.JobId,
+    ) -> result.Result[ids.TeamId, _Error]:
+        """Return the team that a job belongs to."""
+        found = await self._read(job_id)
+        return found.map(lambda stored: stored.record.team_id)
+
     async def wait(
         self,
         job_id: ids.JobId,
--- a/src/nutmegworks/platform/hosts.py
+++ b/src/nutmegworks/platform/hosts.py
@@ -33,6 +33,7 @@
 
     :param service_id: the service of an upstream; empty for other roles.
     :param rack_id: the rack of a worker; empty for other roles.
+    :param accelerators: of a worker; 0 for other roles.
     """
 
     host_id: str
@@ -42,6 +43,7 @@
     state: HostState
     service_id: ids.ServiceId = ids.ServiceId('')
     rack_id: ids.RackId = ids.RackId('')
+    accelerators: int = 0
 
 
 class HostList(abc.ABC):
@@ -59,6 +61,7 @@
     state: str
     service: str = ''
     rack: str = ''
+    accelerators: int = 0
 
 
 class _Hosts(msgspec.Struct):
@@ -104,6 +107,7 @@
         HostState(item.state),
         ids.ServiceId(item.service),
         ids.RackId(item.rack),
+        item.accelerators,
     )
 
 
