--- a/src/nutmegworks/telemetry/logs.py
+++ b/src/nutmegworks/telemetry/logs.py
@@ -47,7 +47,7 @@
             'time': record.time.isoformat(),
             'level': record.level_name.lower(),
             'logger': record.channel,
-            'message': record.msg,
+            'message': record.message,
             **record.kwargs,
         }
         dropped = self._dropped_by_event.pop(
