examples: end all processes when the demo is interrupted

Cause: an interrupted demo left processes that held the ports of the next run. Ruled out: random ports; the settings files are part of what is shown. Change: SIGTERM raises in the demo, whose cleanup ends its processes.

--- a/examples/demo.py
+++ b/examples/demo.py
@@ -12,6 +12,7 @@
 import sys
 import tempfile
 import time
+import types
 import typing
 import urllib.error
 
@@ -408,8 +409,14 @@
     return process.stdout.readline().decode().strip()
 
 
+def _interrupt(number: int, frame: types.FrameType | None) -> None:
+    raise KeyboardInterrupt
+
+
 def main() -> int:
     """Run both deployments; 0 if every promise held."""
+    # Ended early, the demo must still end its processes.
+    signal.signal(signal.SIGTERM, _interrupt)
     failed = False
     for deployment in (BALQA, DONG_HO):
         started = time.monotonic()
