--- a/src/nutmegworks/claims/batcher.py
+++ b/src/nutmegworks/claims/batcher.py
@@ -30,6 +30,9 @@
 MAX_WAITING: typing.Final = 4096
 # Tries of one batch: every conflict means that another daemon has written.
 MAX_ROUNDS: typing.Final = 8
+# Doubled for each round after the second. A read that lags behind the write
+# that caused the conflict leads to the next conflict.
+CONFLICT_PAUSE_SECONDS: typing.Final = 0.002
 MAX_CACHED_RECORDS: typing.Final = 4
 # A cached claim takes about 350 bytes, so 8 shards hold some 6 MB.
 MAX_CACHED_CLAIMS: typing.Final = 2048
@@ -193,7 +196,9 @@
         return slot, batch
 
     async def _settle(self, slot: int, batch: list[_Waiting]) -> None:
-        for _ in range(MAX_ROUNDS):
+        for turn in range(MAX_ROUNDS):
+            if turn > 1:
+                await curio.sleep(CONFLICT_PAUSE_SECONDS * 2**(turn - 2))
             batch = [item for item in batch if not item.cancelled]
             if not batch or await self._try_settle(slot, batch):
                 return
--- a/tests/claims/test_batcher.py
+++ b/tests/claims/test_batcher.py
@@ -123,6 +123,28 @@
     run(scenario, batchers=2)
 
 
+def test_conflicts_wait_for_a_lagging_read() -> None:
+    """A replica that is some ms behind must not cost the claim."""
+
+    async def scenario(backing, one, two) -> None:
+        await claim(one, operations.claim_operation('x', number=1))
+        old = backing.peek(RECORD_KEY)
+        await claim(two, operations.claim_operation('y', number=2))
+        until = time.monotonic() + 0.04
+        get = backing.get
+
+        async def lagging(name):
+            if time.monotonic() < until:
+                backing.stale_by_key[name] = old
+            return await get(name)
+
+        backing.get = lagging
+        reply = await claim(one, operations.claim_operation('a'))
+        assert reply.status is record.Status.GRANTED
+
+    run(scenario, batchers=2)
+
+
 def test_store_out_tells_whether_a_write_is_open() -> None:
     """DID_NOT_RUN is true only if no write can take effect later."""
 
