--- /dev/null
+++ b/src/nutmegworks/bench/decision.py
@@ -0,0 +1,343 @@
+"""Measures the cost of one decision against the size of the cluster.
+
+Sizes are fractions of the two-year size, in one scheduler: 27,000 workers,
+56,000 accelerators, 1,100 teams, 310,000 tasks. Accelerators are not shared,
+so the tasks are the running jobs and the waiting ones together.
+"""
+from __future__ import annotations
+
+import math
+import random
+import resource
+import statistics
+import time
+import typing
+
+import typer
+
+from nutmegworks.model import ids
+from nutmegworks.model import shape as shapes
+from nutmegworks.model import work
+from nutmegworks.policy import events
+from nutmegworks.policy import scheduler as schedulers
+
+WORKERS: typing.Final = 27_000
+# 4,142 workers of 8, 6 of 2 and 22,852 of 1 are 56,000 accelerators.
+WORKERS_OF_8: typing.Final = 4_142
+WORKERS_OF_2: typing.Final = 6
+TASKS: typing.Final = 310_000
+TEAMS: typing.Final = 1_100
+RACK_WORKERS: typing.Final = 16
+FRACTIONS: typing.Final = (0.01, 0.03, 0.1, 0.3, 1.0)
+SAMPLES: typing.Final = 200
+DOMAIN: typing.Final = ids.DomainId('domain')
+# Answers of reachable workers, as in the fake of the policy experiments.
+CHECKPOINT_ANSWER: typing.Final = 1.0
+STOP_ANSWER: typing.Final = 0.3
+
+
+def _sizes(fraction: float) -> list[int]:
+    large = round(WORKERS_OF_8 * fraction)
+    small = round((WORKERS - WORKERS_OF_8 - WORKERS_OF_2) * fraction)
+    middle = math.ceil(WORKERS_OF_2 * fraction)
+    return [8] * large + [2] * middle + [1] * small
+
+
+def _configuration(fraction: float) -> work.Configuration:
+    """Guarantee about half of the whole workers to the teams."""
+    teams = max(4, round(TEAMS * fraction))
+    team_ids = [ids.TeamId(f'team-{i}') for i in range(teams)]
+    blocks = round(WORKERS_OF_8 * fraction / 2)
+    shapes_by_team: dict[ids.TeamId, list[shapes.Shape]] = {}
+    for i in range(blocks // 2):
+        guaranteed = shapes_by_team.setdefault(team_ids[i % teams], [])
+        guaranteed.append(shapes.Shape(2, 8))
+    classes = [
+        work.WorkClass(
+            ids.ClassId(name),
+            ids.ServiceId('bench'),
+            target,
+            0.0,
+            True,
+            True,
+            frozenset(team_ids),
+        ) for name, target in (('urgent', 30.0), ('batch', 36000.0))
+    ]
+    return work.Configuration(
+        sequence=ids.ConfigSequence(1),
+        class_by_id={item.class_id: item
+                     for item in classes},
+        team_by_id={
+            team_id:
+            work.Team(
+                team_id,
+                (),
+                (
+                    work.Guarantee(
+                        DOMAIN,
+                        tuple(shapes_by_team.get(team_id, ())),
+                    ),
+                ),
+            )
+            for team_id in team_ids
+        },
+    )
+
+
+class Experiment:
+    """One scheduler filled up to a fraction of the two-year size."""
+
+    def __init__(self, fraction: float, seed: int) -> None:
+        self._random = random.Random(seed)
+        self._scheduler = schedulers.Scheduler(
+            DOMAIN,
+            random_source=self._random,
+        )
+        self._now = 0.0
+        self._next_job = 0
+        self._configuration = _configuration(fraction)
+        self._teams = list(self._configuration.team_by_id)
+        # Teams with a guarantee; an urgent job of theirs may reclaim it.
+        self._entitled = [
+            team.team_id
+            for team in self._configuration.team_by_id.values()
+            if any(guarantee.shapes for guarantee in team.guarantees)
+        ]
+        self.running: dict[ids.JobId, int] = {}
+        for i, size in enumerate(_sizes(fraction)):
+            self.send(
+                events.WorkerUp(
+                    worker_id=ids.WorkerId(f'worker-{i}'),
+                    rack_id=ids.RackId(f'rack-{i // RACK_WORKERS}'),
+                    accelerators=size,
+                )
+            )
+        changed = events.ConfigurationChanged(
+            configuration=self._configuration
+        )
+        self.send(changed)
+        # A large gang on the empty cluster; later ones would only wait.
+        self.gang_seconds = _timed(lambda: self.arrive(shape='32x8@domain'))
+        for _ in range(round(TASKS * fraction)):
+            self.arrive()
+        self.send(events.Tick())
+
+    @property
+    def workers(self) -> int:
+        return len(self._scheduler.cluster.worker_by_id)
+
+    @property
+    def accelerators(self) -> int:
+        return self._scheduler.cluster.total.accelerators
+
+    @property
+    def teams(self) -> int:
+        return len(self._teams)
+
+    @property
+    def tasks(self) -> int:
+        return len(self._scheduler.job_by_id)
+
+    def send(self, event: events.Event) -> list[events.Action]:
+        actions = self._scheduler.handle(event, self._now)
+        for action in actions:
+            if isinstance(action, events.StartJob):
+                self.running[action.job_id] = action.attempt
+                started = events.JobStarted(
+                    job_id=action.job_id,
+                    attempt=action.attempt,
+                )
+                self._scheduler.handle(started, self._now)
+            elif isinstance(action, events.ReleaseJob):
+                self.running.pop(action.job_id, None)
+        return actions
+
+    def arrive(
+        self,
+        class_id: str = 'batch',
+        shape: str | None = None,
+        team_id: ids.TeamId | None = None,
+    ) -> tuple[ids.JobId, list[events.Action]]:
+        self._next_job += 1
+        self._now += 0.001
+        job_id = ids.JobId(f'job-{self._next_job}')
+        texts = ('1x1', '1x1', '1x1', '1x1', '1x2', '1x4', '1x8', '4x8')
+        text = shape or self._random.choice(texts)
+        arrived = events.JobArrived(
+            job_id=job_id,
+            spec=work.JobSpec(
+                team_id or self._random.choice(self._teams),
+                ids.ClassId(class_id),
+                shapes.Shape.parse(text),
+                36000.0,
+            ),
+            accepted_at=self._now,
+        )
+        return job_id, self.send(arrived)
+
+    def time_finishes(self) -> list[float]:
+        """Return seconds of finishes, each of which starts waiting jobs."""
+        count = min(SAMPLES, len(self.running))
+        chosen = self._random.sample(sorted(self.running), count)
+        seconds: list[float] = []
+        for job_id in chosen:
+            if job_id not in self.running:
+                continue
+            event = events.JobFinished(
+                job_id=job_id,
+                attempt=self.running[job_id],
+            )
+            self._now += 0.001
+            seconds.append(_timed(lambda: self.send(event)))
+        return seconds
+
+    def time_arrivals(self) -> list[float]:
+        """Return seconds of arrivals that have to wait."""
+        return [_timed(self.arrive) for _ in range(SAMPLES)]
+
+    def time_ticks(self) -> list[float]:
+        seconds: list[float] = []
+        for _ in range(20):
+            self._now += 1.0
+            seconds.append(_timed(lambda: self.send(events.Tick())))
+        return seconds
+
+    def time_configuration(self) -> float:
+        """Return seconds for a change that moves no guarantee."""
+        changed = events.ConfigurationChanged(
+            configuration=self._configuration
+        )
+        return _timed(lambda: self.send(changed))
+
+    def time_urgent(self) -> tuple[list[float], list[float]]:
+        """Return the decision seconds and the start delays of urgent jobs.
+
+        A job whose team uses its whole guarantee itself may find no borrower
+        to stop; it waits and has no delay here.
+        The delay is simulated time, in which workers answer and all the
+        scheduler's own computing is added.
+        """
+        decisions: list[float] = []
+        delays: list[float] = []
+        for i in range(SAMPLES // 4):
+            team_id = self._random.choice(self._entitled)
+            shape = ('1x1', '1x8')[i % 2]
+            begun = self._now
+            started = time.perf_counter()
+            job_id, actions = self.arrive('urgent', shape, team_id)
+            decisions.append(time.perf_counter() - started)
+            self._answer(actions, job_id)
+            if job_id in self.running:
+                computing = time.perf_counter() - started
+                delays.append(self._now - begun + computing)
+        return decisions, delays
+
+    def _answer(
+        self,
+        actions: list[events.Action],
+        job_id: ids.JobId,
+    ) -> None:
+        """Let the victims of a job checkpoint and stop."""
+        # No time passes if the job has started already.
+        for action in actions:
+            if isinstance(action, events.CheckpointJob):
+                self._now += CHECKPOINT_ANSWER
+                break
+        stops: list[events.Action] = []
+        for action in actions:
+            if isinstance(action, events.CheckpointJob):
+                checkpointed = events.JobCheckpointed(
+                    job_id=action.job_id,
+                    attempt=action.attempt,
+                )
+                stops += self.send(checkpointed)
+        stops += [a for a in actions if isinstance(a, events.StopJob)]
+        if stops:
+            self._now += STOP_ANSWER
+        for action in stops:
+            stopped = events.JobStopped(
+                job_id=action.job_id,
+                attempt=action.attempt,
+            )
+            self.send(stopped)
+
+
+def _timed(call: typing.Callable[[], typing.Any]) -> float:
+    started = time.perf_counter()
+    call()
+    return time.perf_counter() - started
+
+
+def _quantile(values: typing.Sequence[float], share: float) -> float:
+    return sorted(values)[min(len(values) - 1, int(share * len(values)))]
+
+
+def slope(sizes: typing.Sequence[float], seconds: typing.Sequence[float]):
+    """Return the exponent b of the least-squares fit seconds = a * size^b."""
+    logs = [math.log(size) for size in sizes]
+    fit = statistics.linear_regression(logs, [math.log(s) for s in seconds])
+    return fit.slope
+
+
+def main(seed: int = 1, largest: float = 1.0) -> None:
+    """Print a table of decision costs in milliseconds and their slopes."""
+    columns = (
+        'workers',
+        'accelerators',
+        'teams',
+        'tasks',
+        'arrival p50 / p99 ms',
+        'finish p50 / p99 ms',
+        'tick p50 ms',
+        'urgent decision p99 ms',
+        'urgent start max s (started)',
+        '32x8 gang ms',
+        'configuration ms',
+        'fill s',
+        'RSS MB',
+    )
+    print('| ' + ' | '.join(columns) + ' |')
+    print('|' + ' --- |' * len(columns))
+    medians: dict[str, list[float]] = {'arrival': [], 'finish': []}
+    sizes: list[float] = []
+    for fraction in FRACTIONS:
+        if fraction > largest:
+            break
+        started = time.perf_counter()
+        experiment = Experiment(fraction, seed)
+        fill = time.perf_counter() - started
+        tasks = experiment.tasks
+        arrivals = experiment.time_arrivals()
+        finishes = experiment.time_finishes()
+        ticks = experiment.time_ticks()
+        decisions, delays = experiment.time_urgent()
+        configuration = experiment.time_configuration()
+        memory = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
+        sizes.append(experiment.workers)
+        medians['arrival'].append(_quantile(arrivals, 0.5))
+        medians['finish'].append(_quantile(finishes, 0.5))
+        print(
+            f'| {experiment.workers} | {experiment.accelerators} '
+            f'| {experiment.teams} | {tasks} '
+            f'| {_ms(arrivals, 0.5)} / {_ms(arrivals, 0.99)} '
+            f'| {_ms(finishes, 0.5)} / {_ms(finishes, 0.99)} '
+            f'| {_ms(ticks, 0.5)} | {_ms(decisions, 0.99)} '
+            f'| {max(delays):.2f} ({len(delays)} of {len(decisions)}) '
+            f'| {1000 * experiment.gang_seconds:.1f} '
+            f'| {1000 * configuration:.1f} '
+            f'| {fill:.0f} | {memory:.0f} |',
+            flush=True,
+        )
+    for name, values in medians.items():
+        exponent = slope(sizes, values)
+        print(f'{name}: cost grows with workers to the power {exponent:.2f}')
+
+
+def _ms(seconds: typing.Sequence[float], share: float) -> str:
+    return f'{1000 * _quantile(seconds, share):.2f}'
+
+
+if __name__ == '__main__':
+    typer.run(main)
+
+__all__ = ('Experiment', 'main', 'slope')
