policy: bind guarantees around work found running after a takeover

Cause: a new owner binds guarantees afresh, possibly elsewhere than where unstoppable work within a guarantee runs; another team then lost its shape. Ruled out: storing the slots; the owner keeps no state outside the job records. Change: GuaranteeLedger.adopt, used for restored jobs. Measured: the new test fails without the call (one slot unplaced), passes with it; property tests pass. Conclusion: an unstoppable job in a shape that no single slot covers is still charged as borrowed after a takeover.

--- a/src/nutmegworks/policy/scheduler.py
+++ b/src/nutmegworks/policy/scheduler.py
@@ -242,7 +242,16 @@
             not workers[worker_id].used & mask
             for worker_id, mask in job.blocks
         )
-        if unused and self._occupancy.is_within_guarantee(job):
+        within = unused and self._occupancy.is_within_guarantee(job)
+        if not within and not job.reclaimable:
+            # The new owner bound the guarantees elsewhere. Work that can be
+            # stopped is charged as borrowed instead.
+            within = self.ledger.adopt(
+                job.spec.team_id,
+                job.spec.shape,
+                job.blocks,
+            )
+        if within:
             job.charge = events.Charge.GUARANTEED
         elif not job.reclaimable:
             if not self.ledger.make_room(job.job_id, job.blocks):
--- a/src/nutmegworks/policy/shapes.py
+++ b/src/nutmegworks/policy/shapes.py
@@ -198,7 +198,14 @@
             self._unbind(slot)
             return self._bind_anywhere(slot)
         self._unbind(slot, moving)
+        return self._bind_missing(slot)
+
+    def _bind_missing(self, slot: Slot) -> bool:
+        """Bind the blocks that a partly bound slot lacks."""
+        kept = slot.blocks
         missing = slot.shape.blocks - len(kept)
+        if not missing:
+            return True
         shape = shapes.Shape(
             missing,
             slot.shape.block_size,
@@ -337,6 +344,73 @@
         self._mark_firm(blocks, False)
         return False
 
+    def adopt(
+        self,
+        team_id: ids.TeamId,
+        shape: shapes.Shape,
+        blocks: typing.Sequence[capacity.Block],
+    ) -> bool:
+        """Bind an unused slot of a team around work that runs already.
+
+        :return: whether that was possible; otherwise nothing changed.
+        """
+        for slot in self.covering_slots(team_id, shape):
+            if len(self._unused_blocks(slot)) == slot.shape.blocks:
+                return self._bind_around(slot, blocks)
+        return False
+
+    def _bind_around(
+        self,
+        slot: Slot,
+        blocks: typing.Sequence[capacity.Block],
+    ) -> bool:
+        displaced = [s for s in self._slots_on(blocks) if s is not slot]
+        for other in displaced:
+            if any(self._used(b) for b in self._overlapping(other, blocks)):
+                return False
+        before = {s.slot_id: s.blocks for s in (slot, *displaced)}
+        self._unbind(slot)
+        self._mark_firm(blocks, True)
+        moved = all(
+            self._move(other, self._overlapping(other, blocks))
+            for other in displaced
+        )
+        self._mark_firm(blocks, False)
+        if moved:
+            self._bind(slot, self._cells_around(slot.shape, blocks))
+            complete = 0 < len(slot.blocks) <= slot.shape.blocks
+            if complete and self._bind_missing(slot):
+                return True
+        self._restore(before)
+        return False
+
+    def _cells_around(
+        self,
+        shape: shapes.Shape,
+        blocks: typing.Sequence[capacity.Block],
+    ) -> list[capacity.Block]:
+        """Return blocks of a slot that cover given blocks; [] if none do."""
+        cells: list[capacity.Block] = []
+        for worker_id, mask in blocks:
+            on_worker = [c.mask for c in cells if c.worker_id == worker_id]
+            if any(cell & mask == mask for cell in on_worker):
+                continue
+            worker = self._cluster.worker_by_id[worker_id]
+            usable = self._cluster.unbound.mask(worker_id, worker.rack_id)
+            usable &= ~sum(on_worker)
+            cell = next(
+                (
+                    option
+                    for option in bitmask.positions(usable, shape.block_size)
+                    if option & mask == mask
+                ),
+                None,
+            )
+            if cell is None:
+                return []
+            cells.append(capacity.Block(worker_id, cell))
+        return cells
+
     def displace(self, blocks: typing.Sequence[capacity.Block]) -> None:
         """Take slots off blocks on which unstoppable work runs already."""
         for slot in self._slots_on(blocks):
--- a/tests/policy/test_scheduler.py
+++ b/tests/policy/test_scheduler.py
@@ -332,6 +332,43 @@
     assert start.at <= 201.0 + reserve.RESERVATION_SLACK
 
 
+def test_new_owner_keeps_guarantees_of_work_it_finds_running() -> None:
+    """After a takeover, unstoppable work must not cost a team its shape."""
+    guarantees = {'north': ('2x8', ), 'south': ('1x4', '1x8')}
+    sim, seen = _simulation(guarantees)
+    sim.add_job(_job('a', '2x4', work_class='firm'))
+    sim.add_job(_job('b', '1x4', team='south', work_class='bill'))
+    sim.add_job(_job('c', '1x8', team='west'))
+    sim.run_until(10.0)
+    new, new_seen = _simulation(guarantees)
+    workers = ('w3', 'w0', 'w2', 'w1')
+
+    for job_id, start in seen.open_starts.items():
+        job = sim.run_by_id[ids.JobId(job_id)].job
+        members = tuple(
+            # Other workers than those that the new owner would choose.
+            events.Member(
+                ids.WorkerId(workers[int(member.worker_id[1])]),
+                member.accelerators,
+            ) for member in start.members
+        )
+        new.send(
+            events.JobRestored(
+                job_id=job.job_id,
+                spec=job.spec,
+                accepted_at=job.arrive_at,
+                attempt=start.attempt,
+                members=members,
+                started_at=start.at,
+            )
+        )
+
+    scheduler = new.scheduler
+    assert not scheduler.ledger.unplaced
+    for job_id, start in seen.open_starts.items():
+        assert scheduler.job_by_id[ids.JobId(job_id)].charge is start.charge
+
+
 def _random_job(source: random.Random, i: int) -> simulation.SimulatedJob:
     at = source.uniform(1.0, 300.0)
     run_time = source.choice((5.0, 40.0, 200.0))
