policy: a failed start does not hide earlier runs

Cause: after a run that failed, a failed start marked the job as never run, so its refusal said DID_NOT_RUN, which was false. Change: a failed start restores what was known before it. Measured: test_failed_starts_are_bounded_and_not_taken_as_runs failed before the change and passes after it. Conclusion: DID_NOT_RUN is only given if no attempt can have run.

--- a/src/nutmegworks/policy/job.py
+++ b/src/nutmegworks/policy/job.py
@@ -38,6 +38,7 @@
     """One job, from its arrival to its end.
 
     :ivar executed: whether any attempt may have executed.
+    :ivar executed_earlier: the same for all attempts but the current one.
     :ivar progress: seconds of run time that the last checkpoint saved.
     :ivar stop_reason: why the current attempt is being stopped.
     :ivar avoid_until: seconds, until when ``bad_workers`` are avoided.
@@ -58,6 +59,7 @@
     has_checkpoint: bool = False
     progress: float = 0.0
     executed: bool = False
+    executed_earlier: bool = False
     confirmed: bool = False
     cancelled: bool = False
     failure: events.FailureKind | None = None
--- a/src/nutmegworks/policy/lifecycle.py
+++ b/src/nutmegworks/policy/lifecycle.py
@@ -51,6 +51,7 @@
         job.state = jobs.State.RUNNING
         job.started_at = now
         job.checkpoint_at = None
+        job.executed_earlier = job.executed
         job.executed = True
         job.confirmed = False
         job.failure = None
--- a/src/nutmegworks/policy/scheduler.py
+++ b/src/nutmegworks/policy/scheduler.py
@@ -223,6 +223,7 @@
         job.attempt = event.attempt
         job.started_at = event.started_at
         job.executed = job.confirmed = True
+        job.executed_earlier = event.attempt > 1
         job.state = jobs.State.RUNNING
         job.blocks = tuple(
             capacity.Block(
@@ -307,7 +308,7 @@
         if job is None:
             return
         if event.kind is events.FailureKind.START:
-            job.executed = job.has_checkpoint
+            job.executed = job.executed_earlier
         if job.state is jobs.State.RUNNING:
             self._count_failure(job, event.kind, event.worker_id)
         if event.worker_id is not None:
--- a/tests/policy/test_scheduler.py
+++ b/tests/policy/test_scheduler.py
@@ -425,3 +425,37 @@
     sim.run_until(480.0)
 
     assert seen.starts['late'] == 1
+
+
+@pytest.mark.parametrize('ran_before', [False, True])
+def test_failed_starts_are_bounded_and_not_taken_as_runs(
+    ran_before: bool,
+) -> None:
+    """DID_NOT_RUN must be true, also if only the last starts failed."""
+    sim, seen = _simulation()
+    sim.add_job(_job('j', run_time=9000.0))
+    sim.run_until(2.0)
+    job_id = ids.JobId('j')
+    kind = events.FailureKind.TASK if ran_before else events.FailureKind.START
+
+    while 'j' not in sim.ended:
+        attempt = seen.open_starts['j'].attempt
+        sim.send(
+            events.JobFailed(
+                job_id=job_id,
+                attempt=attempt,
+                kind=kind,
+                members_stopped=True,
+            )
+        )
+        kind = events.FailureKind.START
+        before = sim.now
+        sim.run_until(before + 32.0)
+
+    refusal, = seen.of(events.RefuseJob, 'j')
+    assert refusal.reason is events.Reason.ATTEMPTS_EXHAUSTED
+    expected = verdict.Verdict.DID_NOT_RUN
+    if ran_before:
+        expected = verdict.Verdict.MAY_HAVE_RUN
+    assert refusal.verdict is expected
+    assert seen.starts['j'] == 20 + ran_before
