policy: readmit quarantined and resized workers

Cause: a worker that came back with another size while its old task still held a lease was ignored for good, and nothing ended a quarantine that the policy object had imposed. Change: both are tried again at each tick; a test of starvation within a team's own guarantee.

--- a/src/nutmegworks/policy/scheduler.py
+++ b/src/nutmegworks/policy/scheduler.py
@@ -81,6 +81,10 @@
         self._pass_after: typing.Any = None
         self._capacity_changed = False
         self._down_since: dict[ids.WorkerId, float] = {}
+        # Workers that came back with another rack or size.
+        self._returning: dict[ids.WorkerId, events.WorkerUp] = {}
+        # Workers quarantined by the policy and not by an event.
+        self._suspected: set[ids.WorkerId] = set()
         self._delayed: list[tuple[float, ids.JobId]] = []
         self._occupancy = occupancies.Occupancy(self.cluster)
         self._lifecycle = lifecycle.Lifecycle(self._occupancy)
@@ -526,6 +530,8 @@
             same = (worker.rack_id, worker.accelerators)
             if same != (event.rack_id, event.accelerators):
                 if not self._remove_worker(worker):
+                    # Tried again until its old tasks are gone.
+                    self._returning[event.worker_id] = event
                     return
                 worker = None
         if worker is None:
@@ -535,6 +541,7 @@
                 event.accelerators,
             )
         self._down_since.pop(event.worker_id, None)
+        self._returning.pop(event.worker_id, None)
         worker.up = True
         self.cluster.refresh(worker)
         self._sync_quarantine(event.worker_id)
@@ -545,6 +552,7 @@
         if worker is not None and worker.up:
             self._down_since[event.worker_id] = self._now
             self._lose_worker(worker)
+        self._returning.pop(event.worker_id, None)
 
     def _lose_worker(self, worker: clusters.Worker) -> None:
         """Stop the gangs of a lost worker.
@@ -600,8 +608,15 @@
 
     def _sync_quarantine(self, worker_id: ids.WorkerId) -> None:
         if self._quarantine.is_quarantined(worker_id):
+            self._suspected.add(worker_id)
             self._set_quarantined(worker_id, True)
 
+    def _end_quarantines(self) -> None:
+        for worker_id in sorted(self._suspected):
+            if not self._quarantine.is_quarantined(worker_id):
+                self._suspected.remove(worker_id)
+                self._set_quarantined(worker_id, False)
+
     # Configuration and time.
 
     def _configuration_changed(
@@ -657,6 +672,9 @@
         self._end_delays()
         self._reclaim_backfilled()
         self._forget_workers()
+        self._end_quarantines()
+        for returning in list(self._returning.values()):
+            self._worker_up(returning)
         self.queue.refresh(MAX_GROUPS_REFRESHED, self._now)
         if self._pass_after is None:
             self._capacity_changed = True
--- a/tests/policy/test_scheduler.py
+++ b/tests/policy/test_scheduler.py
@@ -11,6 +11,7 @@
 from nutmegworks.model import ids
 from nutmegworks.model import verdict
 from nutmegworks.policy import events
+from nutmegworks.policy import interfaces
 from nutmegworks.policy import reclaim
 from nutmegworks.policy import reserve
 from nutmegworks.policy import scheduler as schedulers
@@ -459,3 +460,66 @@
         expected = verdict.Verdict.MAY_HAVE_RUN
     assert refusal.verdict is expected
     assert seen.starts['j'] == 20 + ran_before
+
+
+def test_large_job_does_not_starve_within_its_own_guarantee() -> None:
+    """A team's small jobs must not keep its guarantee from its large job."""
+    sim, seen = _simulation({'north': ('4x8', )})
+    for i in range(200):
+        sim.add_job(_job(f's{i}', at=1.0 + i * 10.0, run_time=100.0))
+    sim.add_job(_job('large', '4x8', at=60.0))
+
+    sim.run_until(2000.0)
+
+    start, = seen.of(events.StartJob, 'large')
+    assert start.charge is events.Charge.GUARANTEED
+    assert start.at <= 60.0 + 2 * 100.0 + reserve.RESERVATION_SLACK
+
+
+def test_worker_that_returns_with_another_size_is_used() -> None:
+    """A replaced worker was ignored while its old task still held a lease."""
+    sim, seen = _simulation({'south': ('1x8', )}, workers=2)
+    sim.add_job(_job('j', '2x8', run_time=500.0))
+    sim.run_until(5.0)
+
+    smaller = events.WorkerUp(
+        worker_id=ids.WorkerId('w0'),
+        rack_id=ids.RackId('r0'),
+        accelerators=4,
+    )
+    sim.send(smaller)
+    sim.run_until(60.0)
+
+    worker = sim.scheduler.cluster.worker_by_id[ids.WorkerId('w0')]
+    assert worker.up and worker.accelerators == 4
+
+
+class _OneBadWorker(interfaces.Quarantine):
+    """Quarantines one worker while told to."""
+
+    def __init__(self) -> None:
+        self.active = True
+
+    def is_quarantined(self, worker_id: ids.WorkerId) -> bool:
+        return self.active and worker_id == 'w0'
+
+
+def test_quarantine_policy_is_asked_and_ends() -> None:
+    """A quarantined worker must get no work, and work again afterwards."""
+    quarantine = _OneBadWorker()
+    scheduler = schedulers.Scheduler(
+        ids.DomainId(DOMAIN),
+        random_source=random.Random(1),
+        quarantine=quarantine,
+    )
+    sim = simulation.Simulation(scheduler)
+    sim.send(_up('w0'))
+    sim.send(_configured({}))
+    sim.add_job(_job('j', run_time=10.0))
+
+    sim.run_until(100.0)
+    assert not sim.first_started_at
+    quarantine.active = False
+    sim.run_until(150.0)
+
+    assert sim.ended == {'j': 'finished'}
