--- a/src/nutmegworks/policy/admission.py
+++ b/src/nutmegworks/policy/admission.py
@@ -9,7 +9,7 @@
 from nutmegworks.policy import embedding
 from nutmegworks.policy import events
 from nutmegworks.policy import job as jobs
-from nutmegworks.policy import shapes as guarantees
+from nutmegworks.policy import ledger as ledgers
 
 Refused: typing.TypeAlias = tuple[events.Reason, str]
 
@@ -54,16 +54,16 @@
 
 def check_beside_guarantees(
     cluster: clusters.Cluster,
-    ledger: guarantees.GuaranteeLedger,
+    ledger: ledgers.GuaranteeLedger,
     job: jobs.Job,
 ) -> Refused | None:
-    """Return why an unstoppable job never fits beside others' guarantees.
+    """Return why an unstoppable job never fits beside others' ledgers.
 
     Decided in small domains only; elsewhere such a job waits.
     """
     if job.reclaimable:
         return None
-    if len(cluster.worker_by_id) > guarantees.MAX_WORKERS_REEMBEDDED:
+    if len(cluster.worker_by_id) > ledgers.MAX_WORKERS_REEMBEDDED:
         return None
     others = [
         embedding.Item(slot.shape)
@@ -73,7 +73,7 @@
     outcome = embedding.embed(
         [embedding.Item(job.spec.shape), *others],
         cluster.total.masks_by_rack(),
-        max_steps=guarantees.MAX_REEMBED_STEPS,
+        max_steps=ledgers.MAX_REEMBED_STEPS,
     )
     if outcome.blocks_by_item is not None or not outcome.complete:
         return None
@@ -84,7 +84,7 @@
 def check_job(
     configuration: work.Configuration,
     cluster: clusters.Cluster,
-    ledger: guarantees.GuaranteeLedger,
+    ledger: ledgers.GuaranteeLedger,
     job: jobs.Job,
 ) -> Refused | None:
     """Return why a known job can never run, if so."""
--- a/src/nutmegworks/policy/reserve.py
+++ b/src/nutmegworks/policy/reserve.py
@@ -24,9 +24,9 @@
 from nutmegworks.policy import capacity
 from nutmegworks.policy import cluster as clusters
 from nutmegworks.policy import job as jobs
+from nutmegworks.policy import ledger as ledgers
 from nutmegworks.policy import placement
 from nutmegworks.policy import reclaim
-from nutmegworks.policy import shapes as guarantees
 
 # Reclaim of a backfilled job, which is noticed at a tick, and the tick at
 # which the reserved job is started.
@@ -63,7 +63,7 @@
     def __init__(
         self,
         cluster: clusters.Cluster,
-        ledger: guarantees.GuaranteeLedger,
+        ledger: ledgers.GuaranteeLedger,
         end_of: EndOf,
     ) -> None:
         self._cluster = cluster
--- a/src/nutmegworks/policy/scheduler.py
+++ b/src/nutmegworks/policy/scheduler.py
@@ -14,12 +14,12 @@
 from nutmegworks.policy import events
 from nutmegworks.policy import interfaces
 from nutmegworks.policy import job as jobs
+from nutmegworks.policy import ledger as ledgers
 from nutmegworks.policy import lifecycle
 from nutmegworks.policy import occupancy as occupancies
 from nutmegworks.policy import placement
 from nutmegworks.policy import queue as queues
 from nutmegworks.policy import reserve
-from nutmegworks.policy import shapes
 from nutmegworks.policy import starts
 
 # Groups of waiting jobs tried after one event; the rest follow at ticks.
@@ -69,7 +69,7 @@
     ) -> None:
         self.random_source = random_source
         self.cluster = clusters.Cluster()
-        self.ledger = shapes.GuaranteeLedger(self.cluster, domain_id)
+        self.ledger = ledgers.GuaranteeLedger(self.cluster, domain_id)
         self.job_by_id: dict[ids.JobId, jobs.Job] = {}
         self._estimator = estimator or interfaces.DeclaredRunTime()
         self._quarantine = quarantine or interfaces.NoQuarantine()
--- a/src/nutmegworks/policy/starts.py
+++ b/src/nutmegworks/policy/starts.py
@@ -10,10 +10,10 @@
 from nutmegworks.policy import cluster as clusters
 from nutmegworks.policy import events
 from nutmegworks.policy import job as jobs
+from nutmegworks.policy import ledger as ledgers
 from nutmegworks.policy import placement
 from nutmegworks.policy import reclaim
 from nutmegworks.policy import reserve
-from nutmegworks.policy import shapes as guarantees
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,7 +38,7 @@
     def __init__(
         self,
         cluster: clusters.Cluster,
-        ledger: guarantees.GuaranteeLedger,
+        ledger: ledgers.GuaranteeLedger,
         book: reserve.ReservationBook,
         policy: placement.PlacementPolicy,
         job_of: typing.Callable[[ids.JobId], jobs.Job],
--- a/tests/policy/test_shapes.py
+++ b/tests/policy/test_shapes.py
@@ -11,6 +11,7 @@
 from nutmegworks.policy import bitmask
 from nutmegworks.policy import capacity
 from nutmegworks.policy import cluster as clusters
+from nutmegworks.policy import ledger as ledgers
 from nutmegworks.policy import shapes
 from tests import builders
 from tests.policy import exhaustive
@@ -150,7 +151,7 @@
                     ids.RackId(rack_id),
                     size,
                 )
-        self.ledger = shapes.GuaranteeLedger(self.cluster, DOMAIN)
+        self.ledger = ledgers.GuaranteeLedger(self.cluster, DOMAIN)
         self.ledger.configure(
             _configuration(guaranteed[::2], guaranteed[1::2])
         )
