--- a/src/nutmegworks/policy/scheduler.py
+++ b/src/nutmegworks/policy/scheduler.py
@@ -14,12 +14,12 @@
 from nutmegworks.policy import events
 from nutmegworks.policy import interfaces
 from nutmegworks.policy import job as jobs
+from nutmegworks.policy import ledger as ledgers
 from nutmegworks.policy import lifecycle
 from nutmegworks.policy import occupancy as occupancies
 from nutmegworks.policy import placement
 from nutmegworks.policy import queue as queues
 from nutmegworks.policy import reserve
-from nutmegworks.policy import shapes
 from nutmegworks.policy import starts
 
 # Groups of waiting jobs tried after one event; the rest follow at ticks.
@@ -69,7 +69,7 @@
     ) -> None:
         self.random_source = random_source
         self.cluster = clusters.Cluster()
-        self.ledger = shapes.GuaranteeLedger(self.cluster, domain_id)
+        self.ledger = ledgers.GuaranteeLedger(self.cluster, domain_id)
         self.job_by_id: dict[ids.JobId, jobs.Job] = {}
         self._estimator = estimator or interfaces.DeclaredRunTime()
         self._quarantine = quarantine or interfaces.NoQuarantine()
@@ -81,6 +81,10 @@
         self._pass_after: typing.Any = None
         self._capacity_changed = False
         self._down_since: dict[ids.WorkerId, float] = {}
+        # Workers that came back with another rack or size.
+        self._returning: dict[ids.WorkerId, events.WorkerUp] = {}
+        # Workers quarantined by the policy and not by an event.
+        self._suspected: set[ids.WorkerId] = set()
         self._delayed: list[tuple[float, ids.JobId]] = []
         self._occupancy = occupancies.Occupancy(self.cluster)
         self._lifecycle = lifecycle.Lifecycle(self._occupancy)
@@ -223,6 +227,7 @@
         job.attempt = event.attempt
         job.started_at = event.started_at
         job.executed = job.confirmed = True
+        job.executed_earlier = event.attempt > 1
         job.state = jobs.State.RUNNING
         job.blocks = tuple(
             capacity.Block(
@@ -242,7 +247,16 @@
             not workers[worker_id].used & mask
             for worker_id, mask in job.blocks
         )
-        if unused and self._occupancy.is_within_guarantee(job):
+        within = unused and self._occupancy.is_within_guarantee(job)
+        if not within and not job.reclaimable:
+            # The new owner bound the guarantees elsewhere. Work that can be
+            # stopped is charged as borrowed instead.
+            within = self.ledger.adopt(
+                job.spec.team_id,
+                job.spec.shape,
+                job.blocks,
+            )
+        if within:
             job.charge = events.Charge.GUARANTEED
         elif not job.reclaimable:
             if not self.ledger.make_room(job.job_id, job.blocks):
@@ -298,7 +312,7 @@
         if job is None:
             return
         if event.kind is events.FailureKind.START:
-            job.executed = job.has_checkpoint
+            job.executed = job.executed_earlier
         if job.state is jobs.State.RUNNING:
             self._count_failure(job, event.kind, event.worker_id)
         if event.worker_id is not None:
@@ -516,6 +530,8 @@
             same = (worker.rack_id, worker.accelerators)
             if same != (event.rack_id, event.accelerators):
                 if not self._remove_worker(worker):
+                    # Tried again until its old tasks are gone.
+                    self._returning[event.worker_id] = event
                     return
                 worker = None
         if worker is None:
@@ -525,6 +541,7 @@
                 event.accelerators,
             )
         self._down_since.pop(event.worker_id, None)
+        self._returning.pop(event.worker_id, None)
         worker.up = True
         self.cluster.refresh(worker)
         self._sync_quarantine(event.worker_id)
@@ -535,6 +552,7 @@
         if worker is not None and worker.up:
             self._down_since[event.worker_id] = self._now
             self._lose_worker(worker)
+        self._returning.pop(event.worker_id, None)
 
     def _lose_worker(self, worker: clusters.Worker) -> None:
         """Stop the gangs of a lost worker.
@@ -590,8 +608,15 @@
 
     def _sync_quarantine(self, worker_id: ids.WorkerId) -> None:
         if self._quarantine.is_quarantined(worker_id):
+            self._suspected.add(worker_id)
             self._set_quarantined(worker_id, True)
 
+    def _end_quarantines(self) -> None:
+        for worker_id in sorted(self._suspected):
+            if not self._quarantine.is_quarantined(worker_id):
+                self._suspected.remove(worker_id)
+                self._set_quarantined(worker_id, False)
+
     # Configuration and time.
 
     def _configuration_changed(
@@ -647,6 +672,9 @@
         self._end_delays()
         self._reclaim_backfilled()
         self._forget_workers()
+        self._end_quarantines()
+        for returning in list(self._returning.values()):
+            self._worker_up(returning)
         self.queue.refresh(MAX_GROUPS_REFRESHED, self._now)
         if self._pass_after is None:
             self._capacity_changed = True
--- a/tests/policy/test_scheduler.py
+++ b/tests/policy/test_scheduler.py
@@ -11,6 +11,7 @@
 from nutmegworks.model import ids
 from nutmegworks.model import verdict
 from nutmegworks.policy import events
+from nutmegworks.policy import interfaces
 from nutmegworks.policy import reclaim
 from nutmegworks.policy import reserve
 from nutmegworks.policy import scheduler as schedulers
@@ -332,6 +333,43 @@
     assert start.at <= 201.0 + reserve.RESERVATION_SLACK
 
 
+def test_new_owner_keeps_guarantees_of_work_it_finds_running() -> None:
+    """After a takeover, unstoppable work must not cost a team its shape."""
+    guarantees = {'north': ('2x8', ), 'south': ('1x4', '1x8')}
+    sim, seen = _simulation(guarantees)
+    sim.add_job(_job('a', '2x4', work_class='firm'))
+    sim.add_job(_job('b', '1x4', team='south', work_class='bill'))
+    sim.add_job(_job('c', '1x8', team='west'))
+    sim.run_until(10.0)
+    new, new_seen = _simulation(guarantees)
+    workers = ('w3', 'w0', 'w2', 'w1')
+
+    for job_id, start in seen.open_starts.items():
+        job = sim.run_by_id[ids.JobId(job_id)].job
+        members = tuple(
+            # Other workers than those that the new owner would choose.
+            events.Member(
+                ids.WorkerId(workers[int(member.worker_id[1])]),
+                member.accelerators,
+            ) for member in start.members
+        )
+        new.send(
+            events.JobRestored(
+                job_id=job.job_id,
+                spec=job.spec,
+                accepted_at=job.arrive_at,
+                attempt=start.attempt,
+                members=members,
+                started_at=start.at,
+            )
+        )
+
+    scheduler = new.scheduler
+    assert not scheduler.ledger.unplaced
+    for job_id, start in seen.open_starts.items():
+        assert scheduler.job_by_id[ids.JobId(job_id)].charge is start.charge
+
+
 def _random_job(source: random.Random, i: int) -> simulation.SimulatedJob:
     at = source.uniform(1.0, 300.0)
     run_time = source.choice((5.0, 40.0, 200.0))
@@ -388,3 +426,100 @@
     sim.run_until(480.0)
 
     assert seen.starts['late'] == 1
+
+
+@pytest.mark.parametrize('ran_before', [False, True])
+def test_failed_starts_are_bounded_and_not_taken_as_runs(
+    ran_before: bool,
+) -> None:
+    """DID_NOT_RUN must be true, also if only the last starts failed."""
+    sim, seen = _simulation()
+    sim.add_job(_job('j', run_time=9000.0))
+    sim.run_until(2.0)
+    job_id = ids.JobId('j')
+    kind = events.FailureKind.TASK if ran_before else events.FailureKind.START
+
+    while 'j' not in sim.ended:
+        attempt = seen.open_starts['j'].attempt
+        sim.send(
+            events.JobFailed(
+                job_id=job_id,
+                attempt=attempt,
+                kind=kind,
+                members_stopped=True,
+            )
+        )
+        kind = events.FailureKind.START
+        before = sim.now
+        sim.run_until(before + 32.0)
+
+    refusal, = seen.of(events.RefuseJob, 'j')
+    assert refusal.reason is events.Reason.ATTEMPTS_EXHAUSTED
+    expected = verdict.Verdict.DID_NOT_RUN
+    if ran_before:
+        expected = verdict.Verdict.MAY_HAVE_RUN
+    assert refusal.verdict is expected
+    assert seen.starts['j'] == 20 + ran_before
+
+
+def test_large_job_does_not_starve_within_its_own_guarantee() -> None:
+    """A team's small jobs must not keep its guarantee from its large job."""
+    sim, seen = _simulation({'north': ('4x8', )})
+    for i in range(200):
+        sim.add_job(_job(f's{i}', at=1.0 + i * 10.0, run_time=100.0))
+    sim.add_job(_job('large', '4x8', at=60.0))
+
+    sim.run_until(2000.0)
+
+    start, = seen.of(events.StartJob, 'large')
+    assert start.charge is events.Charge.GUARANTEED
+    assert start.at <= 60.0 + 2 * 100.0 + reserve.RESERVATION_SLACK
+
+
+def test_worker_that_returns_with_another_size_is_used() -> None:
+    """A replaced worker was ignored while its old task still held a lease."""
+    sim, seen = _simulation({'south': ('1x8', )}, workers=2)
+    sim.add_job(_job('j', '2x8', run_time=500.0))
+    sim.run_until(5.0)
+
+    smaller = events.WorkerUp(
+        worker_id=ids.WorkerId('w0'),
+        rack_id=ids.RackId('r0'),
+        accelerators=4,
+    )
+    sim.send(smaller)
+    sim.run_until(60.0)
+
+    worker = sim.scheduler.cluster.worker_by_id[ids.WorkerId('w0')]
+    assert worker.up and worker.accelerators == 4
+
+
+class _OneBadWorker(interfaces.Quarantine):
+    """Quarantines one worker while told to."""
+
+    def __init__(self) -> None:
+        self.active = True
+
+    def is_quarantined(self, worker_id: ids.WorkerId) -> bool:
+        return self.active and worker_id == 'w0'
+
+
+def test_quarantine_policy_is_asked_and_ends() -> None:
+    """A quarantined worker must get no work, and work again afterwards."""
+    quarantine = _OneBadWorker()
+    scheduler = schedulers.Scheduler(
+        ids.DomainId(DOMAIN),
+        random_source=random.Random(1),
+        quarantine=quarantine,
+    )
+    sim = simulation.Simulation(scheduler)
+    sim.send(_up('w0'))
+    sim.send(_configured({}))
+    sim.add_job(_job('j', run_time=10.0))
+
+    sim.run_until(100.0)
+    assert not sim.first_started_at
+    quarantine.active = False
+    sim.run_until(150.0)
+
+    assert sim.ended == {'j': 'finished'}
