claims: an uncounted attempt that ended closes its key

Cause: a key whose uncounted attempt ended as DID_NOT_RUN could be claimed by a delayed attempt with number 1, which then ran after the refusal. Change: such a key can't be claimed again. The history rule for DID_NOT_RUN asks that a later execution belongs to an attempt sent after the refused one.

--- a/src/nutmegworks/claims/record.py
+++ b/src/nutmegworks/claims/record.py
@@ -184,10 +184,11 @@
         return Reply(Status.IN_PROGRESS, held)
     if held.state is not State.DID_NOT_RUN:
         return Reply(Status.FINISHED, held)
-    if operation.attempt_number <= held.attempt_number:
+    uncounted = held.attempt_number == 0
+    if uncounted or operation.attempt_number <= held.attempt_number:
         # An attempt that was delayed on its way must not run after a later
         # one was refused as "did not run"; nor may a delayed copy of an
-        # ended attempt hold the key.
+        # ended attempt hold the key. An uncounted one may be later than any.
         return Reply(Status.ATTEMPT_OVER, held)
     return None
 
--- a/tests/history/test_rules.py
+++ b/tests/history/test_rules.py
@@ -177,6 +177,13 @@
         _answered(3, 'did-not-run', attempt='2'),
         _answered(4, 'ran', body='k'),
     ],
+    'late attempt runs after a later one was refused': [
+        _sent(0),
+        _sent(1, '2'),
+        _answered(2, 'did-not-run', attempt='2'),
+        _executed(3),
+        _answered(4, ''),
+    ],
     'work after leaving': [
         events.UpstreamLeaving(at=0, upstream='u'),
         _executed(3.1),
