--- a/src/nutmegworks/daemon/upstreams.py
+++ b/src/nutmegworks/daemon/upstreams.py
@@ -115,6 +115,30 @@
             chosen.upstream_id, chosen.host.address, until[chosen.upstream_id]
         )
 
+    def usable_slots(self, service_id: ids.ServiceId) -> int:
+        """Return the slots that this daemon can use, at least one."""
+        return self._routes.usable_slots(service_id, self._clock())
+
+    def states(self) -> list[dict[str, typing.Any]]:
+        """Return what an operator wants to know of each upstream."""
+        now = self._clock()
+        return [
+            {
+                'upstream':
+                known.upstream_id,
+                'domain':
+                known.host.domain_id,
+                'leaving':
+                not known.is_ready,
+                'reports':
+                now < self._usable_until_by_id.get(known.upstream_id, now),
+                'busy':
+                known.busy,
+                'slots':
+                known.slots,
+            } for known in self._routes.directory.all()
+        ]
+
     def finished(
         self,
         upstream_id: ids.UpstreamId,
