bench: open-loop load on a running daemon, and its measurement

Cause: nothing measured a running daemon under arrivals that do not wait for answers. Ruled out: a closed loop; it sends less while the daemon is slow and hides the wait of callers.

--- a/src/nutmegworks/cli/client.py
+++ b/src/nutmegworks/cli/client.py
@@ -61,10 +61,10 @@
 
     def __init__(self, address: str, token: str) -> None:
         try:
-            self._address = values.parse_address(address)
+            self.address = values.parse_address(address)
         except ValueError as error:
             fail(ExitCode.USAGE, f'address {address!r} {error}')
-        self._token = token
+        self.token = token
 
     def call(
         self,
@@ -98,7 +98,7 @@
         """Make one call and return any response."""
         data = b'' if body is None else msgspec.json.encode(body)
         merged = {
-            'authorization': f'Bearer {self._token}',
+            'authorization': f'Bearer {self.token}',
             'content-type': 'application/json',
             **(headers or {}),
         }
@@ -120,7 +120,7 @@
         connections = pool.Pool()
         try:
             return await connections.exchange(
-                self._address,
+                self.address,
                 request,
                 timeout=timeout,
                 max_body=MAX_RESPONSE_BYTES,
--- a/src/nutmegworks/cli/main.py
+++ b/src/nutmegworks/cli/main.py
@@ -5,6 +5,7 @@
 
 import typer
 
+from nutmegworks.cli import bench
 from nutmegworks.cli import classes
 from nutmegworks.cli import client
 from nutmegworks.cli import config
@@ -26,6 +27,7 @@
 app.command('explain')(jobs.explain)
 app.command('status')(status.status)
 app.command('account')(status.account)
+app.command('bench')(bench.bench)
 
 
 @app.callback()
