configuration: the accepting daemon adopts all changes up to its own

Change 32 was accepted by a daemon that had 30 in force; it offered itself 32 alone, which does not follow on 30, and every later change met the same gap. The readers were cut off or, restarted while the host list was down, not readers yet. Ruled out: an own read of the store after each acceptance; the repository has just read the head. Change: the daemon adopts the recent changes of the head that it wrote. Measured: tests/entry/test_operators.py failed before (0 in force instead of 2); pytest tests/entry tests/configuration: 19 passed. Conclusion: a daemon started while the host list is down is still no reader and falls back with a chance of 4 % a second (UNKNOWN_MEMBERS); open.

--- a/src/nutmegworks/configuration/repository.py
+++ b/src/nutmegworks/configuration/repository.py
@@ -123,6 +123,11 @@
         self._latest: State | None = None
         self._written: list[records.SnapshotRef] = []
 
+    @property
+    def recent_changes(self) -> tuple[changes.Accepted, ...]:
+        """Return the changes of the latest head that was seen."""
+        return () if self._latest is None else self._latest.head.changes
+
     async def load(self) -> result.Result[State, store.StoreError]:
         """Return the stored configuration, never older than before."""
         read = await self._reader.head()
--- a/src/nutmegworks/daemon/scheduling.py
+++ b/src/nutmegworks/daemon/scheduling.py
@@ -168,7 +168,7 @@
             scheduler=AccountedScheduler(inner, books),
             configuration=configuration,
             jobs=self._repository,
-            worker_client=workers.HttpWorkerClient(self._pool),
+            worker_client=workers.HttpWorkerClient(connections=self._pool),
             list_workers=self._list_workers,
         )
         async with curio.TaskGroup(wait=any) as group:
--- a/src/nutmegworks/entry/operators.py
+++ b/src/nutmegworks/entry/operators.py
@@ -134,7 +134,8 @@
         )
         if isinstance(outcome, result.Err):
             return _rejected(outcome.err_value)
-        await self._on_accepted((outcome.ok_value, ))
+        # This daemon may lack earlier changes too; peers learn all from it.
+        await self._on_accepted(self._repository.recent_changes)
         return message.json_response(
             200, {'sequence': outcome.ok_value.sequence}
         )
