--- a/src/nutmegworks/configuration/adoption.py
+++ b/src/nutmegworks/configuration/adoption.py
@@ -110,9 +110,10 @@
     """Replace the configuration by a whole document if that is newer."""
     if snapshot.sequence <= sequence_of(current):
         return Step.IGNORE, current
-    document = documents.share_names(snapshot.document)
     try:
-        return Step.ADOPT, _adopt(current, document, snapshot.sequence, ())
+        return Step.ADOPT, _adopt(
+            current, snapshot.document, snapshot.sequence, ()
+        )
     except ValueError:
         return Step.IGNORE, current
 
--- a/src/nutmegworks/configuration/document.py
+++ b/src/nutmegworks/configuration/document.py
@@ -99,37 +99,6 @@
         raise DocumentError(str(error)) from error
 
 
-def share_names(document: Document) -> Document:
-    """Return an equal document in which each name is stored once.
-
-    Decoding creates a string for every mention: at 1,100 teams in 40 classes
-    these took several of a daemon's 32 MB. Equal lists of teams are shared as
-    well.
-    """
-    names: dict[str, str] = {name: name for name in document.teams}
-    lists: dict[tuple[str, ...], tuple[str, ...]] = {}
-
-    def share(items: tuple[str, ...]) -> tuple[str, ...]:
-        known = lists.get(items)
-        if known is None:
-            known = tuple(names.setdefault(item, item) for item in items)
-            lists[known] = known
-        return known
-
-    classes = {
-        name: msgspec.structs.replace(entry, teams=share(entry.teams))
-        for name, entry in document.classes.items()
-    }
-    teams = {}
-    for name, team in document.teams.items():
-        guarantees = {
-            names.setdefault(domain, domain): share(texts)
-            for domain, texts in team.guarantees.items()
-        }
-        teams[name] = msgspec.structs.replace(team, guarantees=guarantees)
-    return Document(classes=classes, teams=teams)
-
-
 # Teams use few distinct shapes; equal ones are one object.
 _parse_shape = functools.lru_cache(maxsize=1024)(shape.Shape.parse)
 
@@ -233,7 +202,6 @@
     'TeamEntry',
     'decode',
     'encode',
-    'share_names',
     'to_class',
     'to_configuration',
     'to_team',
--- a/src/nutmegworks/configuration/fanout.py
+++ b/src/nutmegworks/configuration/fanout.py
@@ -13,7 +13,7 @@
 from nutmegworks.configuration import change
 from nutmegworks.configuration import document as documents
 from nutmegworks.configuration import holder as holders
-from nutmegworks.configuration import records
+from nutmegworks.configuration import sharing
 from nutmegworks.configuration import view as views
 from nutmegworks.net import client as net_client
 from nutmegworks.peers import client as peer_client
@@ -148,7 +148,7 @@
     async def _take_missing(self, missing: messages.Missing) -> None:
         if missing.snapshot:
             try:
-                snapshot = documents.decode(missing.snapshot, records.Snapshot)
+                snapshot = sharing.decode_snapshot(missing.snapshot)
             except documents.DocumentError:
                 return
             await self._holder.take_snapshot(snapshot)
--- a/src/nutmegworks/configuration/reader.py
+++ b/src/nutmegworks/configuration/reader.py
@@ -8,6 +8,7 @@
 from nutmegworks.configuration import change
 from nutmegworks.configuration import document as documents
 from nutmegworks.configuration import records
+from nutmegworks.configuration import sharing
 from nutmegworks.model import ids
 from nutmegworks.platform import store
 
@@ -67,7 +68,11 @@
             return read
         if read.ok_value is None:
             return unavailable(f'{key} is gone; the head has moved on')
-        return decode(read.ok_value, records.Snapshot)
+        try:
+            value = read.ok_value.value or b''
+            return result.Ok(sharing.decode_snapshot(value))
+        except documents.DocumentError as error:
+            return unavailable(f'{key}: {error}')
 
     async def document(
         self,
--- a/tests/configuration/test_repository.py
+++ b/tests/configuration/test_repository.py
@@ -13,6 +13,7 @@
 from nutmegworks.configuration import records
 from nutmegworks.configuration import rejection
 from nutmegworks.configuration import repository
+from nutmegworks.configuration import sharing
 from nutmegworks.platform import store
 from tests.configuration import memorystore
 
@@ -151,7 +152,9 @@
     """A document the store refuses would end all changes."""
     whole = large_document()
     snapshot = records.Snapshot(typing.cast(typing.Any, 1), whole)
-    assert len(document.encode(snapshot)) < 512 * 1024
+    encoded = document.encode(snapshot)
+    assert len(encoded) < 512 * 1024
+    assert sharing.decode_snapshot(encoded) == snapshot
     assert rejection.size_faults(whole) == ()
     digests = tuple(
         f'{random.Random(n).getrandbits(256):064x}' for n in range(40000)
