--- a/src/nutmegworks/configuration/document.py
+++ b/src/nutmegworks/configuration/document.py
@@ -1,6 +1,7 @@
 """The operators' document as it is stored and transferred."""
 from __future__ import annotations
 
+import functools
 import typing
 import zlib
 
@@ -98,26 +99,21 @@
         raise DocumentError(str(error)) from error
 
 
-def share_names(document: Document) -> Document:
-    """Return an equal document in which each team name is stored once.
+# Teams use few distinct shapes; equal ones are one object.
+_parse_shape = functools.lru_cache(maxsize=1024)(shape.Shape.parse)
 
-    Decoding creates a string for every mention: at 1,100 teams in 40 classes
-    these took 3 of a daemon's 32 MB.
-    """
-    known = {name: name for name in document.teams}
-    classes = {
-        name:
-        msgspec.structs.replace(
-            entry,
-            teams=tuple(known.get(team, team)
-                        for team in entry.teams),
-        )
-        for name, entry in document.classes.items()
-    }
-    return msgspec.structs.replace(document, classes=classes)
 
+def to_class(
+    name: str,
+    entry: ClassEntry,
+    team_ids: frozenset[ids.TeamId] | None = None,
+) -> work.WorkClass:
+    """Convert a class.
 
-def to_class(name: str, entry: ClassEntry) -> work.WorkClass:
+    :param team_ids: the entitled teams, if they are already converted.
+    """
+    if team_ids is None:
+        team_ids = frozenset(ids.TeamId(team) for team in entry.teams)
     return work.WorkClass(
         class_id=ids.ClassId(name),
         service_id=ids.ServiceId(entry.service),
@@ -125,7 +121,7 @@
         guaranteed_share=entry.guaranteed_share,
         idempotent=entry.idempotent,
         interruptible=entry.interruptible,
-        team_ids=frozenset(ids.TeamId(team) for team in entry.teams),
+        team_ids=team_ids,
     )
 
 
@@ -140,7 +136,7 @@
         guarantees=tuple(
             work.Guarantee(
                 ids.DomainId(domain),
-                tuple(shape.Shape.parse(text) for text in texts),
+                tuple(_parse_shape(text) for text in texts),
             ) for domain, texts in entry.guarantees.items()
         ),
     )
@@ -179,10 +175,17 @@
     done = work.Configuration(sequence, {}, {})
     if previous is not None:
         base, done = previous
+    set_by_list: dict[tuple[str, ...], frozenset[ids.TeamId]] = {}
+
+    def make_class(name: str, entry: ClassEntry) -> work.WorkClass:
+        made = to_class(name, entry, set_by_list.get(entry.teams))
+        set_by_list[entry.teams] = made.team_ids
+        return made
+
     return work.Configuration(
         sequence=sequence,
         class_by_id=_convert(
-            document.classes, to_class, base.classes, done.class_by_id
+            document.classes, make_class, base.classes, done.class_by_id
         ),
         team_by_id=_convert(
             document.teams, to_team, base.teams, done.team_by_id
@@ -199,7 +202,6 @@
     'TeamEntry',
     'decode',
     'encode',
-    'share_names',
     'to_class',
     'to_configuration',
     'to_team',
