--- a/src/nutmegworks/entry/operators.py
+++ b/src/nutmegworks/entry/operators.py
@@ -9,6 +9,7 @@
 
 from nutmegworks.configuration import change as changes
 from nutmegworks.configuration import document as documents
+from nutmegworks.configuration import rejection
 from nutmegworks.configuration import repository as repositories
 from nutmegworks.entry import authenticate
 from nutmegworks.model import verdict
@@ -28,10 +29,10 @@
 ]
 
 _STATUS_BY_KIND: typing.Final = {
-    repositories.RejectionKind.INVALID: 422,
-    repositories.RejectionKind.CONFLICT: 409,
-    repositories.RejectionKind.UNAVAILABLE: 503,
-    repositories.RejectionKind.UNKNOWN: 504,
+    rejection.RejectionKind.INVALID: 422,
+    rejection.RejectionKind.CONFLICT: 409,
+    rejection.RejectionKind.UNAVAILABLE: 503,
+    rejection.RejectionKind.UNKNOWN: 504,
 }
 
 
@@ -141,9 +142,9 @@
         )
 
 
-def _rejected(rejection: repositories.Rejection) -> message.Response:
-    value = {'kind': rejection.kind.value, 'faults': rejection.faults}
-    return message.json_response(_STATUS_BY_KIND[rejection.kind], value)
+def _rejected(refused: rejection.Rejection) -> message.Response:
+    value = {'kind': refused.kind.value, 'faults': refused.faults}
+    return message.json_response(_STATUS_BY_KIND[refused.kind], value)
 
 
 def _store_unavailable(detail: str) -> message.Response:
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -104,7 +104,7 @@
         self.daemon_by_address: dict[str, subprocess.Popen[bytes]] = {}
         self._settings_by_address: dict[str, pathlib.Path] = {}
         self._processes: list[subprocess.Popen[bytes]] = []
-        self._hosts: list[dict[str, str]] = []
+        self._hosts: list[dict[str, typing.Any]] = []
         self.store = self.start_stand_in('store')
         self.hosts = self.start_stand_in('hosts')
 
@@ -178,6 +178,33 @@
         )
         self.put_hosts()
 
+    def add_worker(
+        self,
+        name: str,
+        *,
+        rack: str,
+        domain: str = 'amman-north',
+        accelerators: int = 8,
+    ) -> str:
+        """Start a worker and return its address."""
+        address = self.start_stand_in(
+            'worker', '--worker-id', name, '--rack', rack, '--accelerators',
+            str(accelerators)
+        )
+        self._hosts.append(
+            {
+                'host_id': name,
+                'role': 'worker',
+                'address': address,
+                'domain': domain,
+                'state': 'live',
+                'rack': rack,
+                'accelerators': accelerators,
+            }
+        )
+        self.put_hosts()
+        return address
+
     def put_hosts(self) -> None:
         body = json.dumps({'hosts': self._hosts}).encode()
         call('PUT', self.hosts, '/v1/hosts', body)
