policy: refuse waiting jobs that become impossible

Cause: a waiting job that no longer fits beside new guarantees, or on the workers left, waited for ever. Change: waiting groups are checked again when guarantees change and when a lost worker is forgotten. Measured: both new tests failed before the change and pass after it. Conclusion: only jobs that still fit wait.

--- a/src/nutmegworks/policy/ledger.py
+++ b/src/nutmegworks/policy/ledger.py
@@ -95,16 +95,18 @@
         self,
         configuration: work.Configuration,
         on_dropped: typing.Callable[[set[ids.WorkerId]], None] | None = None,
-    ) -> None:
+    ) -> bool:
         """Adopt the guarantees of a configuration.
 
         Slots of shapes that a team keeps stay where they are.
 
         :param on_dropped: called with the workers of dropped slots before
             new ones are bound; it must charge the work there as borrowed.
+        :return: whether any guarantee changed.
         """
         wanted = wanted_shapes(configuration, self._domain_id)
         dropped: set[ids.WorkerId] = set()
+        count = len(self.slot_by_id)
         for slot in list(self.slot_by_id.values()):
             key = (slot.team_id, slot.shape)
             if wanted[key]:
@@ -112,6 +114,7 @@
             else:
                 dropped.update(block.worker_id for block in slot.blocks)
                 self._drop(slot)
+        changed = len(self.slot_by_id) < count
         if dropped and on_dropped is not None:
             on_dropped(dropped)
         added = []
@@ -121,6 +124,7 @@
             if not self._bind_anywhere(slot):
                 self.unplaced[slot.slot_id] = None
         self.repair()
+        return changed or bool(added)
 
     def _add(self, team_id: ids.TeamId, shape: shapes.Shape) -> Slot:
         slot = Slot(self._next_slot_id, team_id, shape)
--- a/src/nutmegworks/policy/queue.py
+++ b/src/nutmegworks/policy/queue.py
@@ -66,6 +66,10 @@
         group = self._group_by_key.get(key)
         return self._job_by_id[group[0][1]] if group else None
 
+    def keys(self) -> list[GroupKey]:
+        """Return the keys of all groups; linear in their number."""
+        return list(self._group_by_key)
+
     def rank(self, key: GroupKey) -> typing.Any:
         """Return a group's place in the order, or None if it is empty."""
         return self._rank_by_key.get(key)
--- a/src/nutmegworks/policy/scheduler.py
+++ b/src/nutmegworks/policy/scheduler.py
@@ -625,10 +625,15 @@
     ) -> None:
         before = self._configuration
         self._configuration = event.configuration
-        self.ledger.configure(event.configuration, self._guarantees_dropped)
+        changed = self.ledger.configure(
+            event.configuration,
+            self._guarantees_dropped,
+        )
         if before is None or _entitlements(before) != _entitlements(
                 event.configuration):
             self._refuse_unentitled()
+        if changed:
+            self._refuse_impossible()
         self._capacity_changed = True
 
     def _guarantees_dropped(self, worker_ids: set[ids.WorkerId]) -> None:
@@ -667,6 +672,21 @@
                 class_by_id = self._configuration.class_by_id
                 job.work_class = class_by_id[job.spec.class_id]
 
+    def _refuse_impossible(self) -> None:
+        """Refuse waiting jobs that no longer fit, once for each group."""
+        assert self._configuration is not None
+        for key in self.queue.keys():
+            while (job := self.queue.first(key)) is not None:
+                refused = admission.check_job(
+                    self._configuration,
+                    self.cluster,
+                    self.ledger,
+                    job,
+                )
+                if refused is None:
+                    break
+                self._give_up(job, *refused)
+
     def _tick(self, event: events.Tick) -> None:
         self._run_timers()
         self._end_delays()
@@ -729,6 +749,7 @@
             worker = self.cluster.worker_by_id[worker_id]
             if self._remove_worker(worker):
                 del self._down_since[worker_id]
+                self._refuse_impossible()
 
 
 def _entitlements(
--- a/tests/policy/test_scheduler.py
+++ b/tests/policy/test_scheduler.py
@@ -523,3 +523,29 @@
     sim.run_until(150.0)
 
     assert sim.ended == {'j': 'finished'}
+
+
+def test_waiting_job_that_becomes_impossible_is_refused() -> None:
+    """New guarantees must not leave a waiting job waiting for ever."""
+    sim, seen = _simulation()
+    sim.add_job(_job('a', '4x8', run_time=9000.0))
+    sim.add_job(_job('b', '2x8', work_class='firm', at=2.0))
+    sim.run_until(3.0)
+
+    sim.send(_configured({'south': ('3x8', )}))
+
+    refusal, = seen.of(events.RefuseJob, 'b')
+    assert refusal.reason is events.Reason.NOT_PLACEABLE
+
+
+def test_job_too_large_for_the_workers_left_is_refused() -> None:
+    """A worker that never returns must not keep a job waiting for ever."""
+    sim, seen = _simulation()
+    sim.run_until(0.5)
+    sim.send(events.WorkerDown(worker_id=ids.WorkerId('w0')))
+    sim.add_job(_job('a', '4x8'))
+
+    sim.run_until(schedulers.FORGET_SECONDS + 10.0)
+
+    refusal, = seen.of(events.RefuseJob, 'a')
+    assert refusal.reason is events.Reason.LARGER_THAN_RACK
