policy: refuse unstoppable jobs that overlap their own guarantee

Cause: an unstoppable job larger than its team's guarantee passed the check because the guarantee was not counted, but no start was ever possible. Ruled out: a start partly within the guarantee and partly beside it; it needs a charge for each block. Measured: the new case failed before the change and passes after it.

--- a/src/nutmegworks/policy/admission.py
+++ b/src/nutmegworks/policy/admission.py
@@ -5,6 +5,7 @@
 
 from nutmegworks.model import shape as shapes
 from nutmegworks.model import work
+from nutmegworks.policy import capacity
 from nutmegworks.policy import cluster as clusters
 from nutmegworks.policy import embedding
 from nutmegworks.policy import events
@@ -57,30 +58,51 @@
     ledger: ledgers.GuaranteeLedger,
     job: jobs.Job,
 ) -> Refused | None:
-    """Return why an unstoppable job never fits beside others' ledgers.
+    """Return why an unstoppable job never fits beside the guarantees, if so.
 
-    Decided in small domains only; elsewhere such a job waits.
+    It runs either within its team's guarantee or beside all guarantees; a
+    part in each is not supported. Decided in small domains only; elsewhere
+    such a job waits.
     """
     if job.reclaimable:
         return None
     if len(cluster.worker_by_id) > ledgers.MAX_WORKERS_REEMBEDDED:
         return None
-    others = [
-        embedding.Item(slot.shape)
-        for slot in ledger.slot_by_id.values()
-        if slot.team_id != job.spec.team_id
-    ]
+    if _fits_own_guarantee(cluster, ledger, job):
+        return None
+    slots = ledger.slot_by_id.values()
     outcome = embedding.embed(
-        [embedding.Item(job.spec.shape), *others],
+        [
+            embedding.Item(job.spec.shape),
+            *(embedding.Item(slot.shape) for slot in slots),
+        ],
         cluster.total.masks_by_rack(),
         max_steps=ledgers.MAX_REEMBED_STEPS,
     )
     if outcome.blocks_by_item is not None or not outcome.complete:
         return None
-    detail = f'{job.spec.shape} does not fit beside the guarantees of others'
+    detail = f'{job.spec.shape} does not fit beside the guarantees'
     return events.Reason.NOT_PLACEABLE, detail
 
 
+def _fits_own_guarantee(
+    cluster: clusters.Cluster,
+    ledger: ledgers.GuaranteeLedger,
+    job: jobs.Job,
+) -> bool:
+    """Return whether one slot, or all slots of the team as bound, fit."""
+    bound = capacity.CapacityIndex()
+    for slot_id in ledger.slot_ids_by_team.get(job.spec.team_id, ()):
+        slot = ledger.slot_by_id[slot_id]
+        if slot.covers(job.spec.shape):
+            return True
+        for worker_id, block in slot.blocks:
+            rack_id = cluster.worker_by_id[worker_id].rack_id
+            mask = bound.mask(worker_id, rack_id) | block
+            bound.set_mask(worker_id, rack_id, mask)
+    return bound.fits(job.spec.shape)
+
+
 def check_job(
     configuration: work.Configuration,
     cluster: clusters.Cluster,
--- a/tests/policy/test_scheduler.py
+++ b/tests/policy/test_scheduler.py
@@ -260,6 +260,7 @@
         ('1x8', 'north', 'other', events.Reason.UNKNOWN_CLASS),
         ('1x8', 'north', 'private', events.Reason.NOT_ENTITLED),
         ('2x8', 'north', 'firm', events.Reason.NOT_PLACEABLE),
+        ('4x8', 'south', 'firm', events.Reason.NOT_PLACEABLE),
     ],
 )
 def test_job_that_can_never_run_is_refused_at_once(
