--- a/src/nutmegworks/policy/reserve.py
+++ b/src/nutmegworks/policy/reserve.py
@@ -44,6 +44,8 @@
     """Blocks kept for one job.
 
     :param ready_at: seconds at which all blocks are expected to be free.
+    :param beside_guarantees: whether the blocks must not be set aside for
+        any team, because the job cannot be stopped.
     :param original: jobs that held the blocks when they were reserved.
     :param backfilled: jobs started on the blocks since.
     """
@@ -53,6 +55,7 @@
     blocks: placement.Blocks
     ready_at: float
     in_guarantee: bool
+    beside_guarantees: bool
     original: frozenset[ids.JobId]
     backfilled: set[ids.JobId] = dataclasses.field(default_factory=set)
 
@@ -246,6 +249,7 @@
             blocks=blocks,
             ready_at=ready_at,
             in_guarantee=in_guarantee,
+            beside_guarantees=not in_guarantee and not job.reclaimable,
             original=frozenset(self.occupants(blocks)),
         )
 
@@ -270,6 +274,8 @@
             bound = worker.bound_by_team.get(reservation.team_id, 0)
             if reservation.in_guarantee and block.mask & ~bound:
                 return False
+            if reservation.beside_guarantees and block.mask & worker.bound:
+                return False
         return True
 
 
--- a/tests/policy/test_scheduler.py
+++ b/tests/policy/test_scheduler.py
@@ -550,3 +550,18 @@
 
     refusal, = seen.of(events.RefuseJob, 'a')
     assert refusal.reason is events.Reason.LARGER_THAN_RACK
+
+
+def test_reserved_job_starts_though_an_older_equal_job_returned() -> None:
+    """A reservation's holder that is not first in its group once hung."""
+    sim, seen = _simulation()
+    sim.add_job(_job('x', '2x8', work_class='firm', at=1.0, run_time=100.0))
+    sim.add_job(_job('a', '2x8', at=2.0, run_time=900.0))
+    sim.add_job(_job('b', '2x8', at=3.0, run_time=900.0))
+    sim.run_until(50.0)
+    lost = seen.open_starts['a'].members[0].worker_id
+
+    sim.send(events.WorkerDown(worker_id=lost))
+    sim.run_until(200.0)
+
+    assert seen.starts['b'] == 1
