--- a/tests/policy/test_scheduler.py
+++ b/tests/policy/test_scheduler.py
@@ -260,6 +260,7 @@
         ('1x8', 'north', 'other', events.Reason.UNKNOWN_CLASS),
         ('1x8', 'north', 'private', events.Reason.NOT_ENTITLED),
         ('2x8', 'north', 'firm', events.Reason.NOT_PLACEABLE),
+        ('4x8', 'south', 'firm', events.Reason.NOT_PLACEABLE),
     ],
 )
 def test_job_that_can_never_run_is_refused_at_once(
@@ -523,3 +524,44 @@
     sim.run_until(150.0)
 
     assert sim.ended == {'j': 'finished'}
+
+
+def test_waiting_job_that_becomes_impossible_is_refused() -> None:
+    """New guarantees must not leave a waiting job waiting for ever."""
+    sim, seen = _simulation()
+    sim.add_job(_job('a', '4x8', run_time=9000.0))
+    sim.add_job(_job('b', '2x8', work_class='firm', at=2.0))
+    sim.run_until(3.0)
+
+    sim.send(_configured({'south': ('3x8', )}))
+
+    refusal, = seen.of(events.RefuseJob, 'b')
+    assert refusal.reason is events.Reason.NOT_PLACEABLE
+
+
+def test_job_too_large_for_the_workers_left_is_refused() -> None:
+    """A worker that never returns must not keep a job waiting for ever."""
+    sim, seen = _simulation()
+    sim.run_until(0.5)
+    sim.send(events.WorkerDown(worker_id=ids.WorkerId('w0')))
+    sim.add_job(_job('a', '4x8'))
+
+    sim.run_until(schedulers.FORGET_SECONDS + 10.0)
+
+    refusal, = seen.of(events.RefuseJob, 'a')
+    assert refusal.reason is events.Reason.LARGER_THAN_RACK
+
+
+def test_reserved_job_starts_though_an_older_equal_job_returned() -> None:
+    """A reservation's holder that is not first in its group once hung."""
+    sim, seen = _simulation()
+    sim.add_job(_job('x', '2x8', work_class='firm', at=1.0, run_time=100.0))
+    sim.add_job(_job('a', '2x8', at=2.0, run_time=900.0))
+    sim.add_job(_job('b', '2x8', at=3.0, run_time=900.0))
+    sim.run_until(50.0)
+    lost = seen.open_starts['a'].members[0].worker_id
+
+    sim.send(events.WorkerDown(worker_id=lost))
+    sim.run_until(200.0)
+
+    assert seen.starts['b'] == 1
