cli: nutmeg bench takes the address as the client has parsed it

Cause: nutmeg bench failed with AttributeError; it parsed an address that was a pair already. Ruled out: testing the parts only, as the first tests did.

--- a/src/nutmegworks/cli/bench.py
+++ b/src/nutmegworks/cli/bench.py
@@ -45,7 +45,6 @@
 
     daemon = session.of(context).daemon
     try:
-        address = values.parse_address(daemon.address)
         direct = values.parse_address(upstream) if upstream else None
     except ValueError as error:
         client.fail(client.ExitCode.USAGE, str(error))
@@ -61,8 +60,8 @@
         seed=seed,
     )
     target = load.Target(
-        address, daemon.token, service, class_name, once_class, job_class,
-        direct
+        daemon.address, daemon.token, service, class_name, once_class,
+        job_class, direct
     )
     run = load.Load(target, planned, seed=seed)
     curio.run(run.run)
