--- a/src/nutmegworks/bench/cluster.py
+++ b/src/nutmegworks/bench/cluster.py
@@ -130,6 +130,21 @@
         """Let calls of some nodes to the store get no answer."""
         self.network.cuts |= {(node.name, self.platform.store) for node in cut}
 
+    def isolate(self, domain: str) -> list[nodes.Node]:
+        """Cut a failure domain from all others and from the platform.
+
+        :return: the nodes of the domain.
+        """
+        inside = [node for node in self.nodes if node.domain == domain]
+        outside = [node for node in self.nodes if node.domain != domain]
+        for node in inside:
+            self.network.cuts.add((node.name, self.platform.store))
+            self.network.cuts.add((node.name, self.platform.host_list))
+            for other in outside:
+                self.network.cuts.add((node.name, other.address))
+                self.network.cuts.add((other.name, node.address))
+        return inside
+
     def latencies(self, node: nodes.Node) -> list[float]:
         """Return seconds from acceptance to adoption for each change.
 
--- a/src/nutmegworks/bench/nodes.py
+++ b/src/nutmegworks/bench/nodes.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import random
 import time
 import typing
@@ -64,11 +65,12 @@
         echo: str = '',
         fresh: bool = False,
     ) -> result.Result[message.Response, client.ExchangeError]:
+        lost = result.Err(
+            client.ExchangeError(client.Fault.TIMEOUT, 'cut', True)
+        )
         if self._lost(address, request):
             await curio.sleep(timeout)
-            return result.Err(
-                client.ExchangeError(client.Fault.TIMEOUT, 'cut', True)
-            )
+            return lost
         answer = await super().exchange(
             address,
             request,
@@ -77,6 +79,9 @@
             echo=echo,
             fresh=fresh,
         )
+        if self._lost(address, request):
+            # Cut while the exchange was under way.
+            return lost
         self.carried += _message_bytes(request)
         if isinstance(answer, result.Ok):
             self.carried += _message_bytes(answer.ok_value)
@@ -180,12 +185,21 @@
         )
         self.configuration.register(peers)
         self.membership.register(peers)
-        self.configuration.holder.subscribe(self._note)
+        # Messages that were under way when a node was stopped still reach
+        # the holder of that run; they must not count for the next one.
+        self.adopted_at = {}
+        self.configuration.holder.subscribe(
+            functools.partial(self._note, self.adopted_at)
+        )
 
-    async def _note(self, adopted: adoption.Adopted) -> None:
+    async def _note(
+        self,
+        adopted_at: dict[int, float],
+        adopted: adoption.Adopted,
+    ) -> None:
         sequence = adopted.sequence
-        self.reverted += sequence <= max(self.adopted_at, default=0)
-        self.adopted_at[sequence] = time.monotonic()
+        self.reverted += sequence <= max(adopted_at, default=0)
+        adopted_at[sequence] = time.monotonic()
 
     async def _run(self) -> None:
         async with curio.TaskGroup() as group:
@@ -218,7 +232,6 @@
         await self._server.drain(limit=0.0)
         for connections in self._pools:
             await connections.close()
-        self.adopted_at.clear()
 
     def listed(self) -> dict[str, str]:
         """Return this node's entry of the host list."""
--- a/tests/configuration/test_controller.py
+++ b/tests/configuration/test_controller.py
@@ -68,6 +68,28 @@
     helpers.run(main)
 
 
+def test_isolated_domain_keeps_its_configuration_and_converges() -> None:
+    """A partition must neither empty a domain nor leave it behind."""
+
+    async def main() -> None:
+        async with cluster.running(15, seed=9) as running:
+            assert await running.in_force(1, limit=10.0)
+            inside = running.isolate('domain-0')
+            outside = [node for node in running.nodes if node not in inside]
+            sequence = await running.accept()
+            assert await running.in_force(
+                sequence, limit=IN_FORCE_SECONDS, among=outside
+            )
+            await curio.sleep(3.0)
+            for node in inside:
+                age = node.configuration.holder.age()
+                assert node.sequence == 1 and age is not None and age > 3.0
+            running.network.cuts.clear()
+            assert await running.in_force(sequence, limit=IN_FORCE_SECONDS)
+
+    helpers.run(main)
+
+
 def test_burst_beyond_what_the_head_holds() -> None:
     """A daemon that missed many changes must take the snapshot."""
 
