daemon: defer asyncio and ssl

Cause: a daemon took 33.1 MB at idle, 32 MB are allowed. Ruled out: python -OO (34.4 MB); a fork of curio. Change: placeholders stand for asyncio and ssl until an attribute is used; curio is imported as on a Python without ssl, which it supports.

--- a/src/nutmegworks/daemon/serve.py
+++ b/src/nutmegworks/daemon/serve.py
@@ -2,28 +2,30 @@
 from __future__ import annotations
 
 import gc
+import importlib
 import sys
 import typing
 
-import curio
-import logbook
-import result
-
-from nutmegworks.daemon import compose
-from nutmegworks.settings import loader
-from nutmegworks.telemetry import logs
+from nutmegworks.daemon import slim
 
 EXIT_BAD_SETTINGS: typing.Final = 2
 
 
 def main(arguments: typing.Sequence[str]) -> int:
     """Return the exit code: 0 after a graceful stop, 1 if it took too long."""
+    # These imports follow the deferral, which decides what they load.
+    slim.defer_modules()
+    loader = importlib.import_module('nutmegworks.settings.loader')
     outcome = loader.load(arguments[0])
-    if isinstance(outcome, result.Err):
+    if outcome.is_err():
         for fault in outcome.err_value:
             print(fault, file=sys.stderr)
         return EXIT_BAD_SETTINGS
     settings = outcome.ok_value
+    curio = importlib.import_module('curio')
+    logbook = importlib.import_module('logbook')
+    logs = importlib.import_module('nutmegworks.telemetry.logs')
+    compose = importlib.import_module('nutmegworks.daemon.compose')
     handler = logs.JsonHandler(level=settings.telemetry_level)
     handler.push_application()
     daemon = compose.Daemon(settings)
