policy: learn run times and failing workers from what ran

Cause: the estimator and the quarantine had no caller. Ruled out: calls inside the scheduler; a wrapper keeps its state separate. Change: LearningScheduler observes run times and task failures and feeds quarantine events back. Conclusion: order by slack (policy.order) still has no caller; the scheduler uses its earliest deadline.

--- a/src/nutmegworks/daemon/scheduling.py
+++ b/src/nutmegworks/daemon/scheduling.py
@@ -24,6 +24,8 @@
 from nutmegworks.platform import workers
 from nutmegworks.policy import estimate
 from nutmegworks.policy import events
+from nutmegworks.policy import learning
+from nutmegworks.policy import quarantine
 from nutmegworks.policy import scheduler
 from nutmegworks.settings import schema
 
@@ -157,15 +159,21 @@
     ) -> None:
         configuration = self._configuration.value
         assert configuration is not None
+        estimator = estimate.RunTimeEstimator()
         inner = scheduler.Scheduler(
             self._domain_id,
             random_source=random.Random(),
-            estimator=estimate.RunTimeEstimator(),
+            estimator=estimator,
+        )
+        learner = learning.LearningScheduler(
+            AccountedScheduler(inner, books),
+            estimator,
+            quarantine.Quarantine(0),
         )
         self._controller = controller.Controller(
             shard_id=self._shard_id,
             fencing_token=token,
-            scheduler=AccountedScheduler(inner, books),
+            scheduler=learner,
             configuration=configuration,
             jobs=self._repository,
             worker_client=workers.HttpWorkerClient(connections=self._pool),
