jobs: cancel a running job that the scheduler does not know

Cause: a job whose class was removed is dropped by the scheduler after a takeover, so its cancellation had no effect; a refusal that met a record which had ended meanwhile would have stopped the controller. Ruled out: relying on the scheduler's stop alone. Change: a cancellation also stops the gang directly; Ledger.write returns if the job has ended. Conclusion: cancellation does not depend on the configuration.

--- a/src/nutmegworks/jobs/controller.py
+++ b/src/nutmegworks/jobs/controller.py
@@ -225,9 +225,15 @@
     async def _reconcile(self, job_id: ids.JobId) -> None:
         """Act on what a record says that this owner did not write."""
         job = self._ledger.get(job_id)
-        if job is None or job_id in self._runner_by_job:
-            if job is not None and job.cancel_requested:
+        if job is None:
+            return
+        running = self._runner_by_job.get(job_id)
+        if running is not None:
+            if job.cancel_requested:
                 await self.put(events.JobCancelled(job_id=job_id))
+                # The scheduler may not know the job, for example if its
+                # class no longer exists.
+                await running.tell(gang.StopAsked())
             return
         if job.final:
             await self._forget(job_id)
--- a/src/nutmegworks/jobs/ledger.py
+++ b/src/nutmegworks/jobs/ledger.py
@@ -100,7 +100,10 @@
         :raises DeposedError: if the record names a newer owner.
         """
         while True:
-            stored = self.stored_by_id[job_id]
+            stored = self.stored_by_id.get(job_id)
+            if stored is None:
+                # It ended in the meantime.
+                return
             self._check_owner(stored.record)
             changes = decide(stored.record)
             if changes is None:
--- a/tests/jobs/fakes.py
+++ b/tests/jobs/fakes.py
@@ -262,6 +262,7 @@
         token: int,
         life: Life,
         scheduler: interfaces.Scheduler,
+        configuration: work.Configuration,
     ) -> None:
         self.life = life
         self.scheduler = scheduler
@@ -270,7 +271,7 @@
             shard_id=SHARD,
             fencing_token=ids.FencingToken(token),
             scheduler=self.scheduler,
-            configuration=CONFIGURATION,
+            configuration=configuration,
             jobs=repository.JobRepository(self.store),
             worker_client=MortalWorkers(life),
             list_workers=at.list_workers,
@@ -364,6 +365,7 @@
         checkpoint: bool = False,
         reverse: bool = False,
         real: bool = False,
+        configuration: work.Configuration = CONFIGURATION,
     ) -> Owner:
         scheduler = FirstFit(checkpoint_on_start=checkpoint, reverse=reverse)
         if real:
@@ -371,7 +373,7 @@
                 ids.DomainId(SHARD),
                 random_source=random.Random(1),
             )
-        owner = Owner(self, token, life or Life(), scheduler)
+        owner = Owner(self, token, life or Life(), scheduler, configuration)
         await owner.start()
         return owner
 
--- a/tests/jobs/test_controller.py
+++ b/tests/jobs/test_controller.py
@@ -332,6 +332,27 @@
     helpers.run(main)
 
 
+def test_job_of_a_removed_class_can_be_cancelled() -> None:
+    """A scheduler that does not know a running job must not keep it."""
+
+    async def main() -> None:
+        async with fakes.cluster() as at:
+            first = await at.owner(1, real=True)
+            job_id = await at.accept(seconds=20.0)
+            await curio.sleep(0.6)
+            await first.kill()
+            await at.owner(
+                2, real=True, configuration=builders.configuration()
+            )
+            await curio.sleep(0.3)
+            await at.service.cancel(job_id)
+            view = await at.ended(job_id, within=5.0)
+            assert view.state is STATE.CANCELLED
+            assert all(run.ended for _, run in at.executions())
+
+    helpers.run(main)
+
+
 def test_running_gang_outlives_a_store_outage() -> None:
     """A gang must be renewed, and its result kept, while the store is down."""
 
