standins: gang jobs, workers and their faults in the fault run

Cause: runs with faults covered requests and configuration only. Ruled out: a separate run for jobs; faults of daemons and of the store meet both at once. Change: job callers who submit, cancel and wait at any daemon, 8 workers with faults, executions of tasks in the history. The failure of a shard controller is logged. The daemon places by best-fit, which docs/policy.md measures equal or better.

--- a/src/nutmegworks/daemon/scheduling.py
+++ b/src/nutmegworks/daemon/scheduling.py
@@ -25,6 +25,7 @@
 from nutmegworks.policy import estimate
 from nutmegworks.policy import events
 from nutmegworks.policy import learning
+from nutmegworks.policy import placement
 from nutmegworks.policy import quarantine
 from nutmegworks.policy import scheduler
 from nutmegworks.settings import schema
@@ -144,6 +145,13 @@
                 await group.spawn(self._control, token, books)
                 await group.spawn(self._save_accounts, books)
             self._controller = None
+            if group.exception is not None:
+                # The group keeps the first failure to itself.
+                _LOG.error(
+                    'shard controller failed',
+                    shard=self._shard_id,
+                    error=repr(group.exception),
+                )
             if self._claim.token == token:
                 # The controller learned of a newer owner from a worker.
                 self._claim.step_down()
@@ -164,6 +172,9 @@
             self._domain_id,
             random_source=random.Random(),
             estimator=estimator,
+            # Measured equal or better than placement.LeastLoss, see
+            # docs/policy.md, section 3.
+            policy=placement.BestFit(),
         )
         learner = learning.LearningScheduler(
             AccountedScheduler(inner, books),
@@ -182,6 +193,8 @@
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(self._controller.run)
             await group.spawn(self._follow_configuration, configuration)
+        if group.exception is not None:
+            raise group.exception
 
     async def _list_workers(self, ) -> typing.Sequence[typing.Any] | None:
         return self._directory.workers(self._domain_id)
--- a/standins/disturbances.py
+++ b/standins/disturbances.py
@@ -30,6 +30,7 @@
     :param control_by_relay: control addresses of relays, by name.
     :param domain_by_relay: for relays to the store: domain of its daemons.
     :param domain_by_daemon: by name of the daemon.
+    :param address_by_worker: of each worker.
     """
 
     cluster: processes.Cluster
@@ -38,6 +39,7 @@
     control_by_relay: dict[str, str]
     domain_by_relay: dict[str, str]
     domain_by_daemon: dict[str, str]
+    address_by_worker: dict[str, str]
 
 
 class _StandInFaults:
@@ -94,6 +96,22 @@
     'service_seconds': (2, (0.5, 3.0)),
     'leaving': (4, (1.0, 8.0)),
 }
+WORKER_FAULTS: typing.Final = {
+    'dead': (2, (0.5, 4.0)),
+    'silent': (2, (0.5, 4.0)),
+    'lose_answers': (3, (0.5, 2.0)),
+    'drop_messages': (2, (0.5, 2.0)),
+    'report_lag': (2, (1.0, 4.0)),
+    'fail_tasks': (1, (0.3, 1.0)),
+}
+WORKER_VALUES: typing.Final = {
+    'dead': True,
+    'silent': True,
+    'lose_answers': 3,
+    'drop_messages': 3,
+    'report_lag': 2.0,
+    'fail_tasks': True,
+}
 HOSTS_FAULTS: typing.Final = {'down': (1, (1.0, 5.0))}
 STORE_VALUES: typing.Final = {
     'down': True,
@@ -144,6 +162,10 @@
             name: _StandInFaults(address)
             for name, address in site.upstream_by_name.items()
         }
+        self._workers = {
+            name: _StandInFaults(address)
+            for name, address in site.address_by_worker.items()
+        }
         self._groups = self._all_groups()
 
     def _all_groups(self) -> list[_Group]:
@@ -155,6 +177,7 @@
             (3, 'relay', sorted(site.control_by_relay), RELAY_FAULTS),
             (3, 'store', ['store'], STORE_FAULTS),
             (6, 'upstream', sorted(site.upstream_by_name), UPSTREAM_FAULTS),
+            (3, 'worker', sorted(site.address_by_worker), WORKER_FAULTS),
             (1, 'hosts', ['hosts'], HOSTS_FAULTS),
         ]
 
@@ -271,6 +294,12 @@
         time.sleep(choice.seconds)
         faults.lift(choice.fault)
 
+    def _worker(self, choice: _Choice) -> None:
+        faults = self._workers[choice.target]
+        faults.put(**{choice.fault: WORKER_VALUES[choice.fault]})
+        time.sleep(choice.seconds)
+        faults.lift(choice.fault)
+
     def _leave(self, choice: _Choice, faults: _StandInFaults) -> None:
         faults.put(leaving=True)
         self._history.record(
--- a/standins/faultrun.py
+++ b/standins/faultrun.py
@@ -20,6 +20,7 @@
 from standins import callers
 from standins import cluster as processes
 from standins import disturbances
+from standins import jobcallers
 from standins import operating
 
 DOMAINS: typing.Final = ('amman-north', 'amman-south')
@@ -30,6 +31,8 @@
 UPSTREAM_SLOTS: typing.Final = 256
 CALLERS: typing.Final = 8
 OPERATORS: typing.Final = 3
+JOB_CALLERS: typing.Final = 3
+WORKERS_PER_DOMAIN: typing.Final = 4
 # Beyond the time in which configurations are in force everywhere.
 QUIET_SECONDS: typing.Final = rules.CONFIGURATION_SECONDS + 1.0
 # Per second of the run; callers wait longer than they work under faults.
@@ -49,6 +52,11 @@
             callers.Caller(f'caller-{number}', seed, balancer, self.history)
             for number in range(CALLERS)
         ]
+        self.job_callers = [
+            jobcallers.JobCaller(
+                f'jobs-{number}', seed, balancer, self.history
+            ) for number in range(JOB_CALLERS)
+        ]
         self.operators = [
             operating.Operator(f'op-{number}', seed, balancer, self.history)
             for number in range(OPERATORS)
@@ -67,6 +75,14 @@
             if number < RELAYED_UPSTREAMS:
                 relay, controls[name] = cluster.start_relay(upstreams[name])
                 cluster.list_upstream(name, relay)
+        workers = {
+            f'{domain}-w{number}':
+            cluster.add_worker(
+                f'{domain}-w{number}', rack=f'{domain}-r', domain=domain
+            )
+            for domain in DOMAINS
+            for number in range(WORKERS_PER_DOMAIN)
+        }
         names: dict[str, str] = {}
         domains: dict[str, str] = {}
         store_relays: dict[str, str] = {}
@@ -89,15 +105,16 @@
         cluster.configure_default()
         return disturbances.Site(
             cluster, callers.Balancer(names), upstreams, controls,
-            store_relays, domains
+            store_relays, domains, workers
         )
 
     def run(self, seconds: float) -> None:
         """Disturb for a time, lift everything and wait until it is quiet."""
-        for thread in (*self._observers, *self._callers, *self.operators):
+        for thread in (*self._observers, *self._callers, *self.job_callers,
+                       *self.operators):
             thread.start()
         self.schedule.run(seconds)
-        for group in (self._callers, self.operators):
+        for group in (self._callers, self.operators, self.job_callers):
             for thread in group:
                 thread.halted.set()
             for thread in group:
@@ -109,7 +126,10 @@
 
     def collect(self) -> list[events.Event]:
         """Return the merged history with executions and kept changes."""
-        return self.history.merged(self._executions(), self._kept())
+        tasks = jobcallers.executions(
+            self.site.cluster, self.site.address_by_worker
+        )
+        return self.history.merged(self._executions(), self._kept(), tasks)
 
     def _executions(self) -> typing.Iterator[events.Event]:
         for name, address in self.site.upstream_by_name.items():
@@ -179,6 +199,19 @@
     )
 
 
+def job_states(
+    history: typing.Sequence[events.Event],
+) -> collections.Counter[str]:
+    """Return the number of jobs by final state, and the accepted ones."""
+    counts: collections.Counter[str] = collections.Counter()
+    for event in history:
+        if isinstance(event, events.JobEnded):
+            counts[event.state] += 1
+        elif isinstance(event, events.JobAccepted):
+            counts['accepted'] += 1
+    return counts
+
+
 def execute(seed: int, seconds: float, out: pathlib.Path) -> list[str]:
     """Make one run, write its history and print a summary.
 
@@ -193,10 +226,13 @@
     found = faults_of(run, history)
     minimum = int(MIN_ANSWERED_PER_SECOND * seconds)
     count = answered(history)
+    for caller in run.job_callers:
+        found += [f'job {job} has not ended' for job in caller.unfinished]
     if count < minimum:
         found.append(f'only {count} requests answered, {minimum} wanted')
     _print_counts('faults', run.schedule.counts)
     _print_counts('requests', outcomes(history))
+    _print_counts('jobs', job_states(history))
     changes: collections.Counter[str] = collections.Counter()
     for operator in run.operators:
         changes.update(operator.outcomes)
