history: jobs that may have run are final, but only if not idempotent

Ruled out: accepting any state; an idempotent job that ends so is now a violation of its own. Change: the name, the stricter rule, both with histories.

--- a/src/nutmegworks/history/rules.py
+++ b/src/nutmegworks/history/rules.py
@@ -20,7 +20,7 @@
 DID_NOT_RUN: typing.Final = 'did-not-run'
 RAN: typing.Final = 'ran'
 FINAL_STATES: typing.Final = frozenset(
-    {'done', 'failed', 'cancelled', 'may_have_run'}
+    {'done', 'failed', 'cancelled', 'may-have-run'}
 )
 
 
@@ -166,6 +166,10 @@
         for state, result in outcomes:
             if state not in FINAL_STATES:
                 yield Violation('job ends once', job.job, f'state {state}')
+            if state == 'may-have-run' and job.idempotent:
+                yield Violation(
+                    'job ends once', job.job, 'idempotent, yet given up'
+                )
             if state == 'done' and result != job.result:
                 yield Violation(
                     'job ends once', job.job, 'the result is not whole'
--- a/tests/history/test_rules.py
+++ b/tests/history/test_rules.py
@@ -111,6 +111,7 @@
         _task('w3', 20, 50, resumed=True),
         _ended(),
     ],
+    'job given up': [_accepted(), _ended('may-have-run', '')],
     'leaving in time': [
         events.UpstreamLeaving(at=0, upstream='u'),
         _executed(2.9),
@@ -192,6 +193,10 @@
     'job ended twice': [_accepted(),
                         _ended(), _ended('failed', '')],
     'job in part': [_accepted(), _ended(result='')],
+    'idempotent job given up': [
+        _accepted(idempotent=True),
+        _ended('may-have-run', ''),
+    ],
     'job in no final state': [_accepted(), _ended('accepted')],
     'job run again': [
         _accepted(1),
