jobs: read all records again at intervals

Measured: tests/jobs/test_controller.py -k stale_watch failed before (still accepted after 20 s) and passes, twice. Conclusion: a lost change costs at most 15 s.

--- a/src/nutmegworks/jobs/controller.py
+++ b/src/nutmegworks/jobs/controller.py
@@ -27,6 +27,9 @@
 TICK_SECONDS: typing.Final = 1.0
 WATCH_SECONDS: typing.Final = 20.0
 RETRY_SECONDS: typing.Final = 0.5
+# A watch that the store answers from old data may skip a record. All records
+# are read again after this time, one call for 100 jobs.
+RESYNC_SECONDS: typing.Final = 15.0
 OFFER_AGAIN_SECONDS: typing.Final = 5.0
 # The store returns no more changes than this from one watch.
 WATCH_LIMIT: typing.Final = 1000
@@ -194,11 +197,17 @@
         return first
 
     async def _watch(self, revision: ids.StoreRevision) -> None:
+        resync_at = time.monotonic() + RESYNC_SECONDS
         while True:
+            left = resync_at - time.monotonic()
+            if left <= 0:
+                revision = await self._load()
+                resync_at = time.monotonic() + RESYNC_SECONDS
+                continue
             answer = await self._jobs.watch(
                 self._shard_id,
                 after=revision,
-                wait=WATCH_SECONDS,
+                wait=min(left, WATCH_SECONDS),
             )
             if isinstance(answer, result.Err):
                 await curio.sleep(RETRY_SECONDS)
--- a/standins/jobcallers.py
+++ b/standins/jobcallers.py
@@ -61,9 +61,10 @@
             self._submit(f'{self.name}-{count}')
             self.halted.wait(self._rng.expovariate(1.0 / PAUSE_SECONDS))
         deadline = time.monotonic() + SETTLE_SECONDS
-        for job in self._jobs:
-            if not self._follow(job, deadline):
-                self.unfinished.append(job.job_id)
+        left = self._jobs
+        while left and time.monotonic() < deadline:
+            left = [job for job in left if not self._follow(job)]
+        self.unfinished = [job.job_id for job in left]
 
     def _call(
         self,
@@ -132,19 +133,17 @@
             job.cancelled = True
             self._call('DELETE', f'/v1/jobs/{job_id}')
 
-    def _follow(self, job: _Job, deadline: float) -> bool:
+    def _follow(self, job: _Job) -> bool:
         """Return whether the job ended; what is told is recorded."""
         path = f'/v1/jobs/{job.job_id}?wait={POLL_SECONDS}'
-        while time.monotonic() < deadline:
-            reply = self._call('GET', path)
-            if reply is None or reply.status not in (200, 202):
-                time.sleep(PAUSE_SECONDS / 2)
-                continue
-            found = json.loads(reply.body)
-            if found['final']:
-                self._record_end(job, found)
-                return True
-        return False
+        reply = self._call('GET', path)
+        if reply is None or reply.status not in (200, 202):
+            time.sleep(PAUSE_SECONDS / 2)
+            return False
+        found = json.loads(reply.body)
+        if found['final']:
+            self._record_end(job, found)
+        return bool(found['final'])
 
     def _record_end(self, job: _Job, found: dict[str, typing.Any]) -> None:
         self._history.record(
--- a/tests/jobs/test_controller.py
+++ b/tests/jobs/test_controller.py
@@ -431,3 +431,24 @@
             assert len(view.result or b'') == (size if view.result else 0)
 
     helpers.run(main)
+
+
+def test_job_that_a_stale_watch_skipped_is_found(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A watch that skips a record must not leave its job waiting for ever."""
+    monkeypatch.setattr(controller, 'RESYNC_SECONDS', 1.0)
+
+    async def main() -> None:
+        async with fakes.cluster() as at:
+            await at.owner(1)
+            first = await at.accept('first')
+            await at.ended(first)
+            at.store.faults.stale_reads = 5
+            job_id = await at.accept('second')
+            await curio.sleep(0.5)
+            at.store.faults.stale_reads = 0
+            view = await at.ended(job_id)
+            assert view.state is STATE.DONE
+
+    helpers.run(main)
