--- a/src/nutmegworks/entry/jobs.py
+++ b/src/nutmegworks/entry/jobs.py
@@ -101,18 +101,18 @@
         parameters: Parameters,
     ) -> message.Response:
         """Handle ``GET /v1/jobs/<id>?wait=<seconds>``."""
-        job_id = ids.JobId(parameters['id'])
-        allowed = await self._allowed(request, job_id)
-        if isinstance(allowed, result.Err):
-            return requests.respond(allowed)
         try:
             seconds = float(parameters.get('wait', '0'))
         except ValueError:
             return requests.respond(_bad('wait is no number of seconds'))
-        if not 0 <= seconds <= job_service.MAX_WAIT_SECONDS:
-            limit = job_service.MAX_WAIT_SECONDS
+        limit = job_service.MAX_WAIT_SECONDS
+        if not 0 <= seconds <= limit:
             return requests.respond(_bad(f'wait is not in 0 to {limit:g} s'))
-        return _respond(await self._jobs.wait(job_id, seconds))
+
+        async def follow(job_id: ids.JobId) -> message.Response:
+            return _respond(await self._jobs.wait(job_id, seconds))
+
+        return await self._if_allowed(request, parameters, follow)
 
     async def cancel(
         self,
@@ -120,11 +120,11 @@
         parameters: Parameters,
     ) -> message.Response:
         """Handle ``DELETE /v1/jobs/<id>``."""
-        job_id = ids.JobId(parameters['id'])
-        allowed = await self._allowed(request, job_id)
-        if isinstance(allowed, result.Err):
-            return requests.respond(allowed)
-        return _respond(await self._jobs.cancel(job_id))
+
+        async def end(job_id: ids.JobId) -> message.Response:
+            return _respond(await self._jobs.cancel(job_id))
+
+        return await self._if_allowed(request, parameters, end)
 
     async def explain(
         self,
@@ -132,14 +132,29 @@
         parameters: Parameters,
     ) -> message.Response:
         """Handle ``GET /v1/jobs/<id>/explain``."""
+
+        async def describe(job_id: ids.JobId) -> message.Response:
+            explained = await self._jobs.explain(job_id)
+            if isinstance(explained, result.Err):
+                return requests.respond(explained)
+            return message.json_response(200, {'lines': explained.ok_value})
+
+        return await self._if_allowed(request, parameters, describe)
+
+    async def _if_allowed(
+        self,
+        request: message.Request,
+        parameters: Parameters,
+        action: typing.Callable[
+            [ids.JobId],
+            typing.Awaitable[message.Response],
+        ],
+    ) -> message.Response:
         job_id = ids.JobId(parameters['id'])
         allowed = await self._allowed(request, job_id)
         if isinstance(allowed, result.Err):
             return requests.respond(allowed)
-        explained = await self._jobs.explain(job_id)
-        if isinstance(explained, result.Err):
-            return requests.respond(explained)
-        return message.json_response(200, {'lines': explained.ok_value})
+        return await action(job_id)
 
     async def _submit(
         self,
