--- a/src/nutmegworks/entry/admit.py
+++ b/src/nutmegworks/entry/admit.py
@@ -93,7 +93,7 @@
             lane = _Lane(self._max_per_team)
             self._lane_by_service[service_id] = lane
         configuration = self._configuration.value
-        if configuration is not None and lane.configuration is not configuration:
+        if configuration is not None and configuration != lane.configuration:
             lane.configuration = configuration
             lane.queues.set_shares(team_shares(configuration, service_id))
         return lane
