--- a/src/nutmegworks/daemon/serve.py
+++ b/src/nutmegworks/daemon/serve.py
@@ -3,6 +3,7 @@
 
 import gc
 import importlib
+import logging
 import sys
 import typing
 
@@ -26,6 +27,9 @@
     logbook = importlib.import_module('logbook')
     logs = importlib.import_module('nutmegworks.telemetry.logs')
     compose = importlib.import_module('nutmegworks.daemon.compose')
+    # curio warns of each operation that ends just after its timeout, which
+    # is harmless and frequent under load.
+    logging.getLogger('curio').setLevel(logging.ERROR)
     handler = logs.JsonHandler(level=settings.telemetry_level)
     handler.push_application()
     daemon = compose.Daemon(settings)
