jobs: move conversions of records out of the controller

Cause: the controller had grown to 691 lines with functions that need none of its state. Ruled out: splitting its tasks, which share state. Change: jobs/conversion.py. Measured: tests/jobs and tests/daemon/test_jobs.py pass (65 tests).

--- a/src/nutmegworks/jobs/controller.py
+++ b/src/nutmegworks/jobs/controller.py
@@ -8,9 +8,9 @@
 
 import curio
 import logbook
-import msgspec
 import result
 
+from nutmegworks.jobs import conversion
 from nutmegworks.jobs import gang
 from nutmegworks.jobs import interfaces
 from nutmegworks.jobs import ledger
@@ -251,7 +251,7 @@
             await self._adopt(job)
         elif job_id not in self._known:
             self._known.add(job_id)
-            await self.put(_arrived(job))
+            await self.put(conversion.arrived(job))
 
     async def _forget(
         self,
@@ -303,7 +303,7 @@
                 )
             )
             return
-        runs, run_id = _next_run(job)
+        runs, run_id = conversion.next_run(job)
         run = record.Run(
             run_id=run_id,
             attempt=action.attempt,
@@ -367,7 +367,7 @@
         assert run is not None
         if all(self._roster.is_up(item.worker_id) for item in run.members):
             self._known.add(job.job_id)
-            await self.put(_restored(job, run))
+            await self.put(conversion.restored(job, run))
         await self._spawn_attempt(job, run, job.runs, gang.TakeOver())
 
     async def _spawn_attempt(
@@ -410,10 +410,12 @@
         slot: _Slot,
     ) -> None:
         if isinstance(first, gang.TakeOver):
-            adopt = functools.partial(_adopt_changes, run, self._token)
+            adopt = functools.partial(
+                conversion.adopt_changes, run, self._token
+            )
             await self._ledger.write(job_id, adopt)
             job = self._ledger.get(job_id)
-            if job is None or not _holds(job, run):
+            if job is None or not conversion.holds(job, run):
                 self._runner_by_job.pop(job_id, None)
                 await self._reconcile(job_id)
                 return
@@ -453,7 +455,7 @@
     ) -> None:
 
         def note(job: record.JobRecord) -> dict[str, typing.Any] | None:
-            if not _holds(job, run) or job.checkpoint == checkpoint:
+            if not conversion.holds(job, run) or job.checkpoint == checkpoint:
                 return None
             return {'checkpoint': checkpoint}
 
@@ -632,56 +634,6 @@
             await self._permits.release()
 
 
-def _next_run(job: record.JobRecord) -> tuple[int, ids.RunId]:
-    """Return the number of runs and the run id of the next attempt."""
-    if job.state is record.JobState.CHECKPOINTED and job.run is not None:
-        return job.runs, job.run.run_id
-    return job.runs + 1, record.run_id(job.job_id, job.runs + 1)
-
-
-def _holds(job: record.JobRecord, run: record.Run) -> bool:
-    """Return whether a record still says that this run may execute."""
-    if job.state is not record.JobState.COMMITTED or job.run is None:
-        return False
-    return job.run.commit_id == run.commit_id
-
-
-def _adopt_changes(
-    run: record.Run,
-    token: ids.FencingToken,
-    job: record.JobRecord,
-) -> dict[str, typing.Any] | None:
-    """Return the write that makes later writes of earlier owners fail."""
-    if not _holds(job, run) or job.run.fencing_token == token:
-        return None
-    return {'run': msgspec.structs.replace(job.run, fencing_token=token)}
-
-
-def _arrived(job: record.JobRecord) -> events.JobArrived:
-    return events.JobArrived(
-        job_id=job.job_id,
-        spec=job.spec,
-        accepted_at=job.accepted_at,
-        attempts=job.attempts,
-        has_checkpoint=bool(job.checkpoint),
-    )
-
-
-def _restored(
-    job: record.JobRecord,
-    run: record.Run,
-) -> events.JobRestored:
-    return events.JobRestored(
-        job_id=job.job_id,
-        spec=job.spec,
-        accepted_at=job.accepted_at,
-        attempt=run.attempt,
-        members=run.members,
-        started_at=run.committed_at,
-        has_checkpoint=bool(job.checkpoint),
-    )
-
-
 __all__ = (
     'CONCURRENT_STARTS',
     'Controller',
