--- a/src/nutmegworks/claims/service.py
+++ b/src/nutmegworks/claims/service.py
@@ -25,7 +25,6 @@
 # the claim itself.
 FORWARD_TIMEOUT_SECONDS: typing.Final = 0.5
 ANSWER_TIMEOUT_SECONDS: typing.Final = 2.0
-ATTEMPT_RANDOM_BYTES: typing.Final = 8
 # A retry polls for an outcome at these intervals in seconds; the last one is
 # repeated.
 POLL_SECONDS: typing.Final = (0.1, 0.2, 0.4, 0.8, 1.0)
@@ -67,7 +66,6 @@
         member_id: ids.MemberId,
         incarnation: ids.Incarnation,
         members: typing.Callable[[], typing.Iterable[ids.MemberId]],
-        is_present: typing.Callable[[ids.Incarnation], bool] = lambda _: True,
         forwarder: forwarding.ClaimForwarder | None = None,
         wall_clock: typing.Callable[[], float] = time.time,
         clock: typing.Callable[[], float] = time.monotonic,
@@ -77,8 +75,6 @@
         self._forwarder = forwarder
         self._wall_clock = wall_clock
         self._clock = clock
-        self._incarnation = incarnation
-        self._is_present = is_present
         self._answers = answers.AnswerStore(backing, incarnation, clock=clock)
         self._batcher_by_shard = {
             shard: batcher.Batcher(backing, shard, clock=clock)
@@ -155,23 +151,9 @@
                     attempt_number,
                     left - pause,
                 )
-            if self._is_abandoned(reply):
-                return result.Err(replies.IN_PROGRESS)
             if replies.is_settled(reply):
                 return await self._conclude(reply, '', attempt_number)
 
-    def _is_abandoned(self, reply: record.Reply) -> bool:
-        """Return whether no outcome is to be expected soon.
-
-        The verdict is may-have-run either way, so a daemon that is wrongly
-        thought to be gone costs its caller another retry and nothing else.
-        """
-        held = reply.claim
-        if held is None or held.state is not record.State.CLAIMED:
-            return False
-        holder = held.attempt_id[:-2 * ATTEMPT_RANDOM_BYTES]
-        return not self._is_present(ids.Incarnation(holder))
-
     async def finish(
         self,
         key: str,
@@ -254,8 +236,7 @@
             key.epoch,
             key.shard,
             key.key_id,
-            # Names the daemon, so that a retry can see that it is gone.
-            self._incarnation + secrets.token_hex(ATTEMPT_RANDOM_BYTES),
+            secrets.token_hex(16),
             body_digest,
             attempt_number,
         )
--- a/src/nutmegworks/daemon/compose.py
+++ b/src/nutmegworks/daemon/compose.py
@@ -101,7 +101,6 @@
             member_id=self._member_id,
             incarnation=self._incarnation,
             members=self._control.live_member_ids,
-            is_present=self._control.is_present,
             forwarder=daemon_forwarder.PeerForwarder(
                 self._control.client, self._control.table
             ),
--- a/src/nutmegworks/daemon/control.py
+++ b/src/nutmegworks/daemon/control.py
@@ -83,17 +83,6 @@
         """Return this daemon and all others that are thought to be alive."""
         return tuple(member.member_id for member in self.table.alive())
 
-    def is_present(self, incarnation: ids.Incarnation) -> bool:
-        """Return whether one life of a daemon may go on.
-
-        A suspect one may be paused, and its outcome may still come.
-        """
-        return not any(
-            member.incarnation == incarnation
-            and member.state is members.MemberState.DEAD
-            for member in self.table.all()
-        )
-
     async def start(self) -> None:
         """Listen for other daemons."""
         await self._server.start(*self._settings.daemon_peers)
