--- a/src/nutmegworks/adapters/cas.py
+++ b/src/nutmegworks/adapters/cas.py
@@ -6,8 +6,8 @@
 import curio
 import result
 
-from nutmegworks.model import ids
 from nutmegworks.adapters import store
+from nutmegworks.model import ids
 
 ATTEMPTS: typing.Final = 5
 FIRST_DELAY_SECONDS: typing.Final = 0.02
--- a/src/nutmegworks/adapters/httpstore.py
+++ b/src/nutmegworks/adapters/httpstore.py
@@ -7,11 +7,11 @@
 import msgspec
 import result
 
+from nutmegworks.adapters import store
 from nutmegworks.model import ids
 from nutmegworks.net import client
 from nutmegworks.net import message
 from nutmegworks.net import pool
-from nutmegworks.adapters import store
 
 CALL_TIMEOUT_SECONDS: typing.Final = 1.0
 # A watch that does not answer this long after its wait has gone silent.
--- a/src/nutmegworks/bench/claims.py
+++ b/src/nutmegworks/bench/claims.py
@@ -19,6 +19,9 @@
 import result
 import typer
 
+from nutmegworks.adapters import hosts
+from nutmegworks.adapters import httpstore
+from nutmegworks.adapters import store
 from nutmegworks.claims import forwarder
 from nutmegworks.claims import key as claim_key
 from nutmegworks.claims import record
@@ -27,9 +30,6 @@
 from nutmegworks.net import client
 from nutmegworks.net import message
 from nutmegworks.net import pool
-from nutmegworks.adapters import hosts
-from nutmegworks.adapters import httpstore
-from nutmegworks.adapters import store
 
 TEAM_ID: typing.Final = ids.TeamId('north')
 DIGEST: typing.Final = bytes(record.BODY_DIGEST_BYTES)
--- a/src/nutmegworks/bench/cluster.py
+++ b/src/nutmegworks/bench/cluster.py
@@ -8,6 +8,7 @@
 
 import curio
 
+from nutmegworks.adapters import httpstore
 from nutmegworks.bench import nodes
 from nutmegworks.bench import traffic
 from nutmegworks.configuration import change
@@ -15,7 +16,6 @@
 from nutmegworks.configuration import repository
 from nutmegworks.net import client
 from nutmegworks.net import server
-from nutmegworks.adapters import httpstore
 from standins import hosts as host_stand_in
 from standins import store as store_stand_in
 
--- a/src/nutmegworks/bench/nodes.py
+++ b/src/nutmegworks/bench/nodes.py
@@ -10,6 +10,8 @@
 import curio
 import result
 
+from nutmegworks.adapters import hosts
+from nutmegworks.adapters import httpstore
 from nutmegworks.bench import traffic
 from nutmegworks.configuration import adoption
 from nutmegworks.configuration import controller as configuration
@@ -23,8 +25,6 @@
 from nutmegworks.net import server
 from nutmegworks.peers import client as peer_client
 from nutmegworks.peers import service
-from nutmegworks.adapters import hosts
-from nutmegworks.adapters import httpstore
 
 # First line, host and blank line of a message with a typical target.
 HEAD_BYTES: typing.Final = 100
--- a/src/nutmegworks/bench/routing.py
+++ b/src/nutmegworks/bench/routing.py
@@ -16,11 +16,11 @@
 from hdrh import histogram
 import typer
 
+from nutmegworks.adapters import hosts
+from nutmegworks.adapters import upstreams
 from nutmegworks.limits import retries
 from nutmegworks.model import ids
 from nutmegworks.model import verdict
-from nutmegworks.adapters import hosts
-from nutmegworks.adapters import upstreams
 from nutmegworks.routing import chooser
 from nutmegworks.routing import table
 
--- a/src/nutmegworks/claims/answers.py
+++ b/src/nutmegworks/claims/answers.py
@@ -8,9 +8,9 @@
 import msgspec
 import result
 
+from nutmegworks.adapters import store
 from nutmegworks.claims import record
 from nutmegworks.model import ids
-from nutmegworks.adapters import store
 
 MAX_ANSWER_BYTES: typing.Final = 256 * 1024
 MAX_CONTENT_TYPE_LENGTH: typing.Final = 256
--- a/src/nutmegworks/claims/batcher.py
+++ b/src/nutmegworks/claims/batcher.py
@@ -10,10 +10,10 @@
 import msgspec
 import result
 
+from nutmegworks.adapters import store
 from nutmegworks.claims import key as claim_key
 from nutmegworks.claims import record
 from nutmegworks.model import ids
-from nutmegworks.adapters import store
 
 # At most 40 writes/s for a shard, 320/s for the 8 shards: the store takes
 # several hundred.
--- a/src/nutmegworks/claims/service.py
+++ b/src/nutmegworks/claims/service.py
@@ -9,6 +9,7 @@
 import curio
 import result
 
+from nutmegworks.adapters import store
 from nutmegworks.claims import answers
 from nutmegworks.claims import batcher
 from nutmegworks.claims import forwarder as forwarding
@@ -18,7 +19,6 @@
 from nutmegworks.claims import replies
 from nutmegworks.model import ids
 from nutmegworks.model import verdict
-from nutmegworks.adapters import store
 
 CLAIM_TIMEOUT_SECONDS: typing.Final = 2.5
 # A preferred daemon that is slow costs this much before the daemon writes
--- a/src/nutmegworks/configuration/controller.py
+++ b/src/nutmegworks/configuration/controller.py
@@ -7,6 +7,7 @@
 
 import curio
 
+from nutmegworks.adapters import store
 from nutmegworks.configuration import adoption
 from nutmegworks.configuration import fanout
 from nutmegworks.configuration import holder
@@ -14,7 +15,6 @@
 from nutmegworks.configuration import watcher
 from nutmegworks.peers import client as peer_client
 from nutmegworks.peers import service
-from nutmegworks.adapters import store
 
 
 class Controller:
--- a/src/nutmegworks/configuration/reader.py
+++ b/src/nutmegworks/configuration/reader.py
@@ -5,12 +5,12 @@
 
 import result
 
+from nutmegworks.adapters import store
 from nutmegworks.configuration import change
 from nutmegworks.configuration import document as documents
 from nutmegworks.configuration import records
 from nutmegworks.configuration import sharing
 from nutmegworks.model import ids
-from nutmegworks.adapters import store
 
 ARCHIVE_PAGE: typing.Final = 16
 
--- a/src/nutmegworks/configuration/rejection.py
+++ b/src/nutmegworks/configuration/rejection.py
@@ -4,11 +4,11 @@
 import dataclasses
 import enum
 
+from nutmegworks.adapters import store
 from nutmegworks.configuration import change as changes
 from nutmegworks.configuration import document as documents
 from nutmegworks.configuration import records
 from nutmegworks.model import ids
-from nutmegworks.adapters import store
 
 
 class RejectionKind(enum.Enum):
--- a/src/nutmegworks/configuration/repository.py
+++ b/src/nutmegworks/configuration/repository.py
@@ -9,6 +9,7 @@
 import curio
 import result
 
+from nutmegworks.adapters import store
 from nutmegworks.configuration import change as changes
 from nutmegworks.configuration import document as documents
 from nutmegworks.configuration import reader as readers
@@ -16,7 +17,6 @@
 from nutmegworks.configuration import rejection
 from nutmegworks.configuration import validation
 from nutmegworks.model import ids
-from nutmegworks.adapters import store
 
 ACCEPT_SECONDS: typing.Final = 10.0
 # Operators whose CAS collided wait a random time in this range.
--- a/src/nutmegworks/configuration/watcher.py
+++ b/src/nutmegworks/configuration/watcher.py
@@ -8,6 +8,7 @@
 import curio
 import result
 
+from nutmegworks.adapters import store
 from nutmegworks.configuration import adoption
 from nutmegworks.configuration import holder as holders
 from nutmegworks.configuration import reader as readers
@@ -15,7 +16,6 @@
 from nutmegworks.configuration import view as views
 from nutmegworks.membership import jitter
 from nutmegworks.model import ids
-from nutmegworks.adapters import store
 
 # A silent watch is noticed after this time and the adapter's slack of 1 s.
 WATCH_SECONDS: typing.Final = 1.0
--- a/src/nutmegworks/daemon/accounts.py
+++ b/src/nutmegworks/daemon/accounts.py
@@ -8,8 +8,8 @@
 
 from nutmegworks.accounting import ledger
 from nutmegworks.accounting import report
-from nutmegworks.model import ids
 from nutmegworks.adapters import store
+from nutmegworks.model import ids
 
 _LOG: typing.Final = logbook.Logger('accounts')
 
--- a/src/nutmegworks/daemon/compose.py
+++ b/src/nutmegworks/daemon/compose.py
@@ -9,6 +9,9 @@
 import curio
 import logbook
 
+from nutmegworks.adapters import hosts
+from nutmegworks.adapters import httpstore
+from nutmegworks.adapters import upstreams
 from nutmegworks.claims import service as claim_service
 from nutmegworks.configuration import repository as repositories
 from nutmegworks.daemon import accounts as daemon_accounts
@@ -40,9 +43,6 @@
 from nutmegworks.net import pool
 from nutmegworks.net import server
 from nutmegworks.net import signals
-from nutmegworks.adapters import hosts
-from nutmegworks.adapters import httpstore
-from nutmegworks.adapters import upstreams
 from nutmegworks.policy import shapes
 from nutmegworks.routing import table
 from nutmegworks.settings import schema
--- a/src/nutmegworks/daemon/control.py
+++ b/src/nutmegworks/daemon/control.py
@@ -8,6 +8,8 @@
 import curio
 import logbook
 
+from nutmegworks.adapters import hosts
+from nutmegworks.adapters import store
 from nutmegworks.configuration import adoption
 from nutmegworks.configuration import controller as configuration
 from nutmegworks.membership import controller as membership
@@ -20,8 +22,6 @@
 from nutmegworks.net import server
 from nutmegworks.peers import client as peer_client
 from nutmegworks.peers import service as peer_service
-from nutmegworks.adapters import hosts
-from nutmegworks.adapters import store
 from nutmegworks.settings import schema
 
 _LOG: typing.Final = logbook.Logger('control')
--- a/src/nutmegworks/daemon/scheduling.py
+++ b/src/nutmegworks/daemon/scheduling.py
@@ -10,6 +10,8 @@
 import result
 
 from nutmegworks.accounting import accountant
+from nutmegworks.adapters import store
+from nutmegworks.adapters import workers
 from nutmegworks.daemon import accounts
 from nutmegworks.daemon import workers as daemon_workers
 from nutmegworks.jobs import controller
@@ -20,8 +22,6 @@
 from nutmegworks.model import published
 from nutmegworks.model import work
 from nutmegworks.net import pool
-from nutmegworks.adapters import store
-from nutmegworks.adapters import workers
 from nutmegworks.policy import estimate
 from nutmegworks.policy import events
 from nutmegworks.policy import learning
--- a/src/nutmegworks/daemon/upstreams.py
+++ b/src/nutmegworks/daemon/upstreams.py
@@ -9,10 +9,10 @@
 import logbook
 import result
 
-from nutmegworks.entry import dispatch
-from nutmegworks.model import ids
 from nutmegworks.adapters import hosts
 from nutmegworks.adapters import upstreams
+from nutmegworks.entry import dispatch
+from nutmegworks.model import ids
 from nutmegworks.routing import directory
 from nutmegworks.routing import table
 
--- a/src/nutmegworks/daemon/workers.py
+++ b/src/nutmegworks/daemon/workers.py
@@ -8,11 +8,11 @@
 import curio
 import result
 
+from nutmegworks.adapters import hosts
 from nutmegworks.jobs import interfaces
 from nutmegworks.model import ids
 from nutmegworks.model import shape as shapes
 from nutmegworks.model import work
-from nutmegworks.adapters import hosts
 
 REFRESH_SECONDS: typing.Final = 2.0
 
--- a/src/nutmegworks/entry/account.py
+++ b/src/nutmegworks/entry/account.py
@@ -8,10 +8,10 @@
 import result
 
 from nutmegworks.accounting import report
+from nutmegworks.adapters import store
 from nutmegworks.model import verdict
 from nutmegworks.net import message
 from nutmegworks.net import server
-from nutmegworks.adapters import store
 
 Parameters = typing.Mapping[str, str]
 
--- a/src/nutmegworks/entry/dispatch.py
+++ b/src/nutmegworks/entry/dispatch.py
@@ -11,6 +11,7 @@
 import curio
 import result
 
+from nutmegworks.adapters import upstreams
 from nutmegworks.entry import context as entry_context
 from nutmegworks.entry import filter as entry_filter
 from nutmegworks.entry import headers
@@ -20,7 +21,6 @@
 from nutmegworks.model import verdict
 from nutmegworks.net import client
 from nutmegworks.net import message
-from nutmegworks.adapters import upstreams
 from nutmegworks.telemetry import metrics as telemetry_metrics
 from nutmegworks.telemetry import spans
 
--- a/src/nutmegworks/jobs/controller.py
+++ b/src/nutmegworks/jobs/controller.py
@@ -10,6 +10,7 @@
 import logbook
 import result
 
+from nutmegworks.adapters import workers
 from nutmegworks.jobs import conversion
 from nutmegworks.jobs import gang
 from nutmegworks.jobs import interfaces
@@ -21,7 +22,6 @@
 from nutmegworks.jobs import runner
 from nutmegworks.model import ids
 from nutmegworks.model import work
-from nutmegworks.adapters import workers
 from nutmegworks.policy import events
 
 TICK_SECONDS: typing.Final = 1.0
--- a/src/nutmegworks/jobs/gang.py
+++ b/src/nutmegworks/jobs/gang.py
@@ -10,8 +10,8 @@
 import enum
 import typing
 
-from nutmegworks.model import ids
 from nutmegworks.adapters import workers
+from nutmegworks.model import ids
 
 # Longer than an owner's lease and a takeover, so that a new owner finds
 # staged members of a committed gang and can roll it forward.
--- a/src/nutmegworks/jobs/ledger.py
+++ b/src/nutmegworks/jobs/ledger.py
@@ -9,11 +9,11 @@
 import logbook
 import result
 
+from nutmegworks.adapters import store
 from nutmegworks.jobs import gang
 from nutmegworks.jobs import record
 from nutmegworks.jobs import repository
 from nutmegworks.model import ids
-from nutmegworks.adapters import store
 
 RETRY_SECONDS: typing.Final = 0.5
 # Jobs that end while the store is down must not flood it when it is back.
--- a/src/nutmegworks/jobs/repository.py
+++ b/src/nutmegworks/jobs/repository.py
@@ -10,10 +10,10 @@
 import msgspec
 import result
 
-from nutmegworks.jobs import record
-from nutmegworks.model import ids
 from nutmegworks.adapters import cas
 from nutmegworks.adapters import store
+from nutmegworks.jobs import record
+from nutmegworks.model import ids
 
 PAGE_LIMIT: typing.Final = 100
 
--- a/src/nutmegworks/jobs/roster.py
+++ b/src/nutmegworks/jobs/roster.py
@@ -8,10 +8,10 @@
 import logbook
 import result
 
+from nutmegworks.adapters import workers
 from nutmegworks.jobs import interfaces
 from nutmegworks.model import ids
 from nutmegworks.net import client
-from nutmegworks.adapters import workers
 from nutmegworks.policy import events
 
 POLL_INTERVAL_SECONDS: typing.Final = 1.0
--- a/src/nutmegworks/jobs/runner.py
+++ b/src/nutmegworks/jobs/runner.py
@@ -7,10 +7,10 @@
 import curio
 import result
 
+from nutmegworks.adapters import workers
 from nutmegworks.jobs import gang
 from nutmegworks.model import ids
 from nutmegworks.net import client
-from nutmegworks.adapters import workers
 from nutmegworks.policy import events
 
 # A repeated message waits a little: a refused connection fails at once.
--- a/src/nutmegworks/jobs/service.py
+++ b/src/nutmegworks/jobs/service.py
@@ -8,12 +8,12 @@
 import curio
 import result
 
+from nutmegworks.adapters import store
 from nutmegworks.jobs import record
 from nutmegworks.jobs import repository
 from nutmegworks.model import ids
 from nutmegworks.model import verdict
 from nutmegworks.model import work
-from nutmegworks.adapters import store
 
 MAX_WAIT_SECONDS: typing.Final = 30.0
 # After a failed read a waiting caller costs the store one call per second.
--- a/src/nutmegworks/membership/codec.py
+++ b/src/nutmegworks/membership/codec.py
@@ -1,10 +1,10 @@
 """Converts members to and from their form in messages."""
 from __future__ import annotations
 
+from nutmegworks.adapters import hosts
 from nutmegworks.membership import members
 from nutmegworks.model import ids
 from nutmegworks.peers import messages
-from nutmegworks.adapters import hosts
 
 
 def to_news(member: members.Member) -> messages.MemberNews:
--- a/src/nutmegworks/membership/controller.py
+++ b/src/nutmegworks/membership/controller.py
@@ -8,6 +8,7 @@
 import curio
 import result
 
+from nutmegworks.adapters import hosts
 from nutmegworks.configuration import controller as configuration
 from nutmegworks.configuration import fanout
 from nutmegworks.membership import codec
@@ -17,7 +18,6 @@
 from nutmegworks.peers import client as peer_client
 from nutmegworks.peers import messages
 from nutmegworks.peers import service
-from nutmegworks.adapters import hosts
 
 PERIOD_SECONDS: typing.Final = 1.0
 HEARTBEAT_TARGETS: typing.Final = 1
--- a/src/nutmegworks/membership/members.py
+++ b/src/nutmegworks/membership/members.py
@@ -15,9 +15,9 @@
 import random
 import typing
 
+from nutmegworks.adapters import hosts
 from nutmegworks.model import ids
 from nutmegworks.net import client
-from nutmegworks.adapters import hosts
 
 # An accusation and its refutation each need about as many periods of one
 # second as the number of members can be halved. With 5 s for 30 members, a
--- a/src/nutmegworks/membership/ownership.py
+++ b/src/nutmegworks/membership/ownership.py
@@ -20,9 +20,9 @@
 import msgspec
 import result
 
-from nutmegworks.model import ids
 from nutmegworks.adapters import cas
 from nutmegworks.adapters import store
+from nutmegworks.model import ids
 
 PREFIX: typing.Final = 'owners/'
 LEASE_SECONDS: typing.Final = 6.0
--- a/src/nutmegworks/routing/directory.py
+++ b/src/nutmegworks/routing/directory.py
@@ -4,9 +4,9 @@
 import dataclasses
 import typing
 
-from nutmegworks.model import ids
 from nutmegworks.adapters import hosts
 from nutmegworks.adapters import upstreams
+from nutmegworks.model import ids
 
 DEFAULT_SLOTS: typing.Final = 8
 # One report of "ready" may be older than the response that said "leaving".
--- a/src/nutmegworks/routing/health.py
+++ b/src/nutmegworks/routing/health.py
@@ -5,8 +5,8 @@
 import dataclasses
 import typing
 
-from nutmegworks.model import ids
 from nutmegworks.adapters import upstreams
+from nutmegworks.model import ids
 
 WINDOW_SECONDS: typing.Final = 10.0
 MAX_EVIDENCE: typing.Final = 64
--- a/src/nutmegworks/routing/table.py
+++ b/src/nutmegworks/routing/table.py
@@ -5,9 +5,9 @@
 import random
 import typing
 
-from nutmegworks.model import ids
 from nutmegworks.adapters import hosts
 from nutmegworks.adapters import upstreams
+from nutmegworks.model import ids
 from nutmegworks.routing import chooser as routing_chooser
 from nutmegworks.routing import directory
 from nutmegworks.routing import health
--- a/tests/adapters/test_upstreams.py
+++ b/tests/adapters/test_upstreams.py
@@ -6,10 +6,10 @@
 import curio.socket
 import pytest
 
+from nutmegworks.adapters import upstreams
 from nutmegworks.model import ids
 from nutmegworks.model import verdict
 from nutmegworks.net import pool
-from nutmegworks.adapters import upstreams
 from tests import helpers
 
 BODY = b'x' * 200_000
--- a/tests/adapters/test_workers.py
+++ b/tests/adapters/test_workers.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from nutmegworks.model import ids
 from nutmegworks.adapters import workers
+from nutmegworks.model import ids
 from standins import worker as stand_in
 from tests import helpers
 
--- a/tests/claims/test_record.py
+++ b/tests/claims/test_record.py
@@ -2,9 +2,9 @@
 
 import pytest
 
+from nutmegworks.adapters import store
 from nutmegworks.claims import key
 from nutmegworks.claims import record
-from nutmegworks.adapters import store
 from tests.claims import operations
 
 
--- a/tests/claims/test_service_over_http.py
+++ b/tests/claims/test_service_over_http.py
@@ -5,12 +5,12 @@
 import curio
 import pytest
 
+from nutmegworks.adapters import httpstore
 from nutmegworks.claims import answers
 from nutmegworks.claims import key
 from nutmegworks.claims import record
 from nutmegworks.claims import service
 from nutmegworks.model import verdict
-from nutmegworks.adapters import httpstore
 from standins import store as stand_in
 from tests import helpers
 
--- a/tests/configuration/memorystore.py
+++ b/tests/configuration/memorystore.py
@@ -5,8 +5,8 @@
 
 import result
 
-from nutmegworks.model import ids
 from nutmegworks.adapters import store
+from nutmegworks.model import ids
 
 
 def _error(fault: store.StoreFault) -> result.Err[store.StoreError]:
--- a/tests/configuration/test_repository.py
+++ b/tests/configuration/test_repository.py
@@ -5,6 +5,7 @@
 
 import curio
 
+from nutmegworks.adapters import store
 from nutmegworks.configuration import adoption
 from nutmegworks.configuration import change
 from nutmegworks.configuration import difference
@@ -14,7 +15,6 @@
 from nutmegworks.configuration import rejection
 from nutmegworks.configuration import repository
 from nutmegworks.configuration import sharing
-from nutmegworks.adapters import store
 from tests.configuration import memorystore
 
 
--- a/tests/jobs/fakes.py
+++ b/tests/jobs/fakes.py
@@ -10,6 +10,9 @@
 import msgspec
 import result
 
+from nutmegworks.adapters import httpstore
+from nutmegworks.adapters import store
+from nutmegworks.adapters import workers
 from nutmegworks.jobs import controller
 from nutmegworks.jobs import interfaces
 from nutmegworks.jobs import record
@@ -17,9 +20,6 @@
 from nutmegworks.jobs import service
 from nutmegworks.model import ids
 from nutmegworks.model import work
-from nutmegworks.adapters import httpstore
-from nutmegworks.adapters import store
-from nutmegworks.adapters import workers
 from nutmegworks.policy import events
 from nutmegworks.policy import scheduler as policy_scheduler
 from standins import store as store_stand_in
--- a/tests/jobs/owner_process.py
+++ b/tests/jobs/owner_process.py
@@ -5,15 +5,15 @@
 
 import curio
 
+from nutmegworks.adapters import hosts
+from nutmegworks.adapters import httpstore
+from nutmegworks.adapters import workers
 from nutmegworks.jobs import controller
 from nutmegworks.jobs import gang
 from nutmegworks.jobs import interfaces
 from nutmegworks.jobs import repository
 from nutmegworks.membership import ownership
 from nutmegworks.model import ids
-from nutmegworks.adapters import hosts
-from nutmegworks.adapters import httpstore
-from nutmegworks.adapters import workers
 from tests.jobs import fakes
 
 OWNER_LEASE_SECONDS = 1.0
--- a/tests/jobs/test_controller.py
+++ b/tests/jobs/test_controller.py
@@ -3,6 +3,8 @@
 import curio
 import pytest
 
+from nutmegworks.adapters import store
+from nutmegworks.adapters import workers
 from nutmegworks.jobs import controller
 from nutmegworks.jobs import gang
 from nutmegworks.jobs import ledger
@@ -11,8 +13,6 @@
 from nutmegworks.jobs import roster
 from nutmegworks.jobs import runner
 from nutmegworks.model import ids
-from nutmegworks.adapters import store
-from nutmegworks.adapters import workers
 from nutmegworks.policy import events
 from standins import worker as worker_stand_in
 from tests import builders
--- a/tests/jobs/test_gang.py
+++ b/tests/jobs/test_gang.py
@@ -4,9 +4,9 @@
 from hypothesis import strategies
 import pytest
 
+from nutmegworks.adapters import workers
 from nutmegworks.jobs import gang
 from nutmegworks.model import ids
-from nutmegworks.adapters import workers
 
 STEP = workers.Step
 FAULT = workers.WorkerFault
--- a/tests/jobs/test_processes.py
+++ b/tests/jobs/test_processes.py
@@ -11,14 +11,14 @@
 import msgspec
 import pytest
 
+from nutmegworks.adapters import hosts
+from nutmegworks.adapters import httpstore
 from nutmegworks.jobs import record
 from nutmegworks.jobs import repository
 from nutmegworks.jobs import service
 from nutmegworks.model import ids
 from nutmegworks.net import message
 from nutmegworks.net import pool
-from nutmegworks.adapters import hosts
-from nutmegworks.adapters import httpstore
 from standins import worker as worker_stand_in
 from tests import builders
 from tests import helpers
--- a/tests/jobs/test_repository.py
+++ b/tests/jobs/test_repository.py
@@ -2,11 +2,11 @@
 
 import pytest
 
+from nutmegworks.adapters import httpstore
+from nutmegworks.adapters import store
 from nutmegworks.jobs import record
 from nutmegworks.jobs import repository
 from nutmegworks.model import ids
-from nutmegworks.adapters import httpstore
-from nutmegworks.adapters import store
 from standins import store as stand_in
 from tests import builders
 from tests import helpers
--- a/tests/membership/test_members.py
+++ b/tests/membership/test_members.py
@@ -4,9 +4,9 @@
 import random
 import typing
 
+from nutmegworks.adapters import hosts
 from nutmegworks.membership import members
 from nutmegworks.model import ids
-from nutmegworks.adapters import hosts
 
 ALIVE = members.MemberState.ALIVE
 SUSPECT = members.MemberState.SUSPECT
--- a/tests/membership/test_ownership.py
+++ b/tests/membership/test_ownership.py
@@ -5,9 +5,9 @@
 
 import pytest
 
+from nutmegworks.adapters import httpstore
 from nutmegworks.membership import ownership
 from nutmegworks.model import ids
-from nutmegworks.adapters import httpstore
 from standins import store as stand_in
 from tests import helpers
 
--- a/tests/memory_store.py
+++ b/tests/memory_store.py
@@ -7,8 +7,8 @@
 import curio
 import result
 
-from nutmegworks.model import ids
 from nutmegworks.adapters import store
+from nutmegworks.model import ids
 
 _UNKNOWN = result.Err(store.StoreError(store.StoreFault.UNKNOWN, 'lost'))
 _DOWN = result.Err(store.StoreError(store.StoreFault.UNAVAILABLE, 'down'))
--- a/tests/routing/test_table.py
+++ b/tests/routing/test_table.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from nutmegworks.model import verdict
 from nutmegworks.adapters import hosts
 from nutmegworks.adapters import upstreams
+from nutmegworks.model import verdict
 from nutmegworks.routing import chooser
 from nutmegworks.routing import health
 from nutmegworks.routing import table
--- a/tests/specs/test_claims.py
+++ b/tests/specs/test_claims.py
@@ -3,11 +3,11 @@
 import minicheck
 import pytest
 
+from nutmegworks.adapters import store
+from nutmegworks.adapters import upstreams
 from nutmegworks.claims import batcher
 from nutmegworks.claims import record
 from nutmegworks.claims import service
-from nutmegworks.adapters import store
-from nutmegworks.adapters import upstreams
 from specs import claims
 
 Variant = claims.Variant
