--- /dev/null
+++ b/src/nutmegworks/fleet/scheduler.py
@@ -0,0 +1,283 @@
+"""Turns the leader's tables into decisions and carries them out."""
+from __future__ import annotations
+
+import time
+import typing
+
+import curio
+import logbook
+
+from nutmegworks.fleet import membership
+from nutmegworks.fleet import orders as fleet_orders
+from nutmegworks.fleet import state as fleet_state
+from nutmegworks.fleet import table
+from nutmegworks.fleet import worker as fleet_worker
+from nutmegworks.model import ids
+from nutmegworks.policy import demand as demands
+from nutmegworks.policy import fitting
+from nutmegworks.policy import planning
+from nutmegworks.policy import suspicion
+from nutmegworks.policy import victims
+from nutmegworks.tasks import records
+from nutmegworks.tasks import spec
+from nutmegworks.tasks import workers
+
+_LOG: typing.Final = logbook.Logger('scheduler')
+
+# Rounds follow each other after this time at least, so that a burst of events
+# costs one round.
+ROUND_PAUSE_SECONDS: typing.Final = 0.02
+# Progress of runs and due times change without an event.
+ROUND_SECONDS: typing.Final = 0.3
+# A stop takes this long, for the time at which its room is free.
+STOPPING_SECONDS: typing.Final = 0.3
+# A leaving worker that states no time serves this long.
+LEAVING_SECONDS: typing.Final = 2.0
+
+
+class Scheduler:
+    """Runs rounds of decisions."""
+
+    def __init__(
+        self,
+        state: fleet_state.FleetState,
+        orders: fleet_orders.Orders,
+        member: membership.Membership,
+    ) -> None:
+        self._state = state
+        self._orders = orders
+        self._member = member
+
+    async def run(self) -> None:
+        """Decide whenever something has changed, until cancelled."""
+        while True:
+            await curio.ignore_after(ROUND_SECONDS, self._state.wake.wait)
+            self._state.wake.clear()
+            if self._member.may_order():
+                await self._round()
+            await curio.sleep(ROUND_PAUSE_SECONDS)
+
+    async def _round(self) -> None:
+        now = membership.steady_clock()
+        self._evacuate(now)
+        waiting = list(self._demands(now))
+        if waiting:
+            plan = planning.plan(waiting, self._slots(now), self._running(now))
+            for task, job_id in plan.stops:
+                self._preempt(task, job_id)
+            for start in plan.starts:
+                await self._start(start, now)
+        await self._state.notify_stops()
+
+    def _preempt(
+        self,
+        task: victims.RunningTask,
+        job_id: ids.JobId,
+    ) -> None:
+        job = self._state.jobs_by_id[task.task.job_id]
+        run = job.runs_by_task.get(task.task)
+        if run is not None:
+            self._state.stop_run(run, f'yields to {job_id}')
+
+    async def _start(self, start: planning.Start, now: float) -> None:
+        demand = start.demand
+        job = self._state.jobs_by_id[demand.job_id]
+        runs = []
+        for index, worker_id in zip(start.indexes, start.worker_ids):
+            task = spec.TaskKey(
+                job.job_id, demand.occurrence, demand.step.number, index
+            )
+            runs.append((task, self._state.workers_by_id[worker_id]))
+        created = self._create(job, demand, runs, now)
+        _LOG.info(
+            'tasks start',
+            job=job.job_id,
+            queue=job.accepted.queue,
+            step=demand.step.number,
+            occurrence=demand.occurrence,
+            run=created[0].number,
+            workers=[run.worker_id for run in created],
+            waited=round(demand.waited, 3),
+            prospect=demand.prospect.name,
+        )
+        await curio.spawn(self._orders.launch, job, created, daemon=True)
+
+    def _create(
+        self,
+        job: table.Job,
+        demand: demands.Demand,
+        places: typing.Sequence[tuple[spec.TaskKey, fleet_worker.Worker]],
+        now: float,
+    ) -> list[table.Run]:
+        progress = job.progress
+        if progress.state is records.JobState.QUEUED:
+            progress.state = records.JobState.ACTIVE
+        if demand.step.gang:
+            unit = job.unit(places[0][0])
+            progress.runs[unit] = progress.runs.get(unit, 0) + 1
+        created = []
+        for task, worker in places:
+            unit = job.unit(task)
+            if not demand.step.gang:
+                progress.runs[unit] = progress.runs.get(unit, 0) + 1
+            assert worker.born is not None
+            run = table.Run(
+                task,
+                workers.RunNumber(progress.runs[unit]),
+                worker.worker_id,
+                worker.born,
+                demand.step,
+                job.accepted.priority,
+                table.RunPhase.ORDERED,
+                now,
+            )
+            progress.assigned[
+                table.task_name(task)
+            ] = records.Assignment(worker.worker_id, worker.born, run.number)
+            self._state.add_run(job, run)
+            created.append(run)
+        return created
+
+    def _slots(self, now: float) -> list[fitting.Slot]:
+        available = {
+            worker_id: worker
+            for worker_id, worker in self._state.workers_by_id.items()
+            if worker.available(now)
+        }
+        evidence = self._state.suspicion
+        suspects = evidence.suspects(available.keys(), now)
+        return [
+            _slot(worker, now)
+            for worker_id, worker in available.items()
+            if worker_id not in suspects and not (
+                worker.runs_by_key
+                and evidence.trust(worker_id, now) is suspicion.Trust.PROBATION
+            )
+        ]
+
+    def _running(self, now: float) -> list[victims.RunningTask]:
+        return [
+            _running_task(run, now)
+            for worker in self._state.workers_by_id.values()
+            for run in worker.runs_by_key.values()
+            if run.phase is table.RunPhase.RUNNING
+        ]
+
+    def _demands(self, now: float) -> typing.Iterator[demands.Demand]:
+        wall = time.time()
+        for job in self._state.jobs_by_id.values():
+            if job.final or now < job.not_before:
+                continue
+            submission = job.submission
+            for number in range(submission.occurrences):
+                occurrence = spec.Occurrence(number)
+                if submission.timed and submission.due(occurrence) > wall:
+                    break
+                yield from self._step_demands(job, occurrence, now, wall)
+
+    def _step_demands(
+        self,
+        job: table.Job,
+        occurrence: spec.Occurrence,
+        now: float,
+        wall: float,
+    ) -> typing.Iterator[demands.Demand]:
+        submission = job.submission
+        for step in submission.steps:
+            done = job.done(occurrence, step.number)
+            if len(done) >= step.count:
+                continue
+            if not all(job.step_is_done(occurrence, submission.steps[other])
+                       for other in step.after):
+                continue
+            used: dict[ids.WorkerId, int] = {}
+            indexes = []
+            for index in range(step.count):
+                if index in done:
+                    continue
+                run = job.runs_by_task.get(
+                    spec.TaskKey(job.job_id, occurrence, step.number, index)
+                )
+                if run is None:
+                    indexes.append(index)
+                else:
+                    used[run.worker_id] = used.get(run.worker_id, 0) + 1
+            if not indexes or (step.gang and used):
+                continue
+            waited = now - job.arrived_at
+            if submission.timed:
+                waited = max(0.0, wall - submission.due(occurrence))
+            yield demands.Demand(
+                job_id=job.job_id,
+                occurrence=occurrence,
+                step=step,
+                indexes=tuple(indexes),
+                priority=job.accepted.priority,
+                waited=waited,
+                remaining=job.chain(occurrence),
+                objective=fleet_state.objective(job),
+                sequence=job.sequence,
+                service_id=ids.ServiceId(job.accepted.service),
+                team_id=ids.TeamId(job.accepted.team),
+                avoid=self._avoid(job),
+                used_by_worker=used,
+            )
+
+    def _avoid(self, job: table.Job) -> frozenset[ids.WorkerId]:
+        """Return workers on which the job failed, unless these are many."""
+        if 2 * len(job.failed_on) > len(self._state.workers_by_id):
+            job.failed_on.clear()
+        return frozenset(job.failed_on)
+
+    def _evacuate(self, now: float) -> None:
+        """Stop what a leaving worker will not finish in its time."""
+        for worker in self._state.workers_by_id.values():
+            if worker.entry.state is not workers.WorkerState.LEAVING:
+                continue
+            left = worker.entry.remaining
+            left = LEAVING_SECONDS if left is None else left
+            left -= now - worker.registered_at
+            for run in list(worker.runs_by_key.values()):
+                if run.phase is not table.RunPhase.RUNNING:
+                    continue
+                if run.remaining(now) > left or run.step.endless:
+                    self._state.stop_run(run, 'worker leaves')
+                    self._state.stop_gang(run, 'the worker of a member leaves')
+
+
+def _slot(worker: fleet_worker.Worker, now: float) -> fitting.Slot:
+    releases = []
+    for run in worker.runs_by_key.values():
+        after = STOPPING_SECONDS
+        if run.phase is not table.RunPhase.STOPPING:
+            after = run.remaining(now)
+        releases.append(fitting.Release(after, run.step.room))
+    entry = worker.entry
+    return fitting.Slot(
+        entry.worker_id,
+        entry.service_id,
+        entry.rack,
+        entry.labels,
+        entry.room,
+        worker.free(),
+        tuple(releases),
+    )
+
+
+def _running_task(run: table.Run, now: float) -> victims.RunningTask:
+    task = run.task
+    group: tuple[str, ...] = (task.name, )
+    if run.step.gang:
+        group = (task.job_id, str(task.occurrence), str(task.step))
+    return victims.RunningTask(
+        task,
+        group,
+        run.worker_id,
+        run.priority,
+        run.step.room,
+        now - run.ordered_at,
+        run.step.checkpoints,
+    )
+
+
+__all__ = ('Scheduler', )
--- /dev/null
+++ b/src/nutmegworks/fleet/state.py
@@ -0,0 +1,231 @@
+"""What the leader knows; changed by its controllers only."""
+from __future__ import annotations
+
+import collections
+import time
+import typing
+
+import curio
+import logbook
+
+from nutmegworks.fleet import membership
+from nutmegworks.fleet import table
+from nutmegworks.fleet import worker as fleet_worker
+from nutmegworks.model import ids
+from nutmegworks.policy import suspicion
+from nutmegworks.tasks import records
+from nutmegworks.tasks import spec
+from nutmegworks.tasks import workers
+
+_LOG: typing.Final = logbook.Logger('state')
+
+
+class FleetState:
+    """Jobs, workers and runs of one term of leadership."""
+
+    def __init__(self) -> None:
+        self.jobs_by_id: dict[ids.JobId, table.Job] = {}
+        self.workers_by_id: dict[ids.WorkerId, fleet_worker.Worker] = {}
+        self.cancelled_ids: set[ids.JobId] = set()
+        self.suspicion = suspicion.Suspicion()
+        # Set whenever a decision may have become possible.
+        self.wake = curio.Event()
+        # Jobs whose records changed and are not stored yet.
+        self.changed_ids: set[ids.JobId] = set()
+        self.store_wake = curio.Event()
+        # Runs that have to be stopped; taken by the orders' controller.
+        self.stops: collections.deque[table.Run] = collections.deque()
+        self.stop_wake = curio.Event()
+
+    async def notify(self) -> None:
+        """Wake the controllers after changes."""
+        await self.wake.set()
+        await self.notify_stops()
+
+    async def notify_stops(self) -> None:
+        """Wake the controllers that store records and send stops."""
+        if self.changed_ids:
+            await self.store_wake.set()
+        if self.stops:
+            await self.stop_wake.set()
+
+    def encode(self, job_id: ids.JobId) -> bytes | None:
+        """Return a job's stored progress, None if it is to be removed."""
+        job = self.jobs_by_id.get(job_id)
+        return None if job is None else job.record()
+
+    def add_run(self, job: table.Job | None, run: table.Run) -> None:
+        worker = self.workers_by_id.get(run.worker_id)
+        if worker is not None:
+            worker.runs_by_key[run.key] = run
+        if job is not None:
+            job.runs_by_task.setdefault(run.task, run)
+
+    def drop_run(self, run: table.Run, reason: str) -> None:
+        """Forget a run that is over; its room is free."""
+        if run.released:
+            return
+        run.released = True
+        worker = self.workers_by_id.get(run.worker_id)
+        if worker is not None:
+            worker.runs_by_key.pop(run.key, None)
+        job = self.jobs_by_id.get(run.task.job_id)
+        if job is None:
+            return
+        if job.runs_by_task.get(run.task) is run:
+            del job.runs_by_task[run.task]
+        name = table.task_name(run.task)
+        assigned = job.progress.assigned.get(name)
+        if assigned is not None and assigned.run == run.number:
+            del job.progress.assigned[name]
+            self.changed_ids.add(job.job_id)
+        _LOG.info(
+            'run is over',
+            task=run.task.name,
+            run=run.number,
+            worker=run.worker_id,
+            reason=reason,
+            percent=run.percent,
+            age=round(membership.steady_clock() - run.ordered_at, 3),
+        )
+
+    def stop_run(self, run: table.Run, reason: str) -> None:
+        """Have a run stopped; it keeps its room until it has ended."""
+        if run.released or run.phase is table.RunPhase.STOPPING:
+            return
+        was_sent = run.sent or run.phase is table.RunPhase.ADOPTED
+        run.phase = table.RunPhase.STOPPING
+        run.confirmed_at = None
+        if not was_sent:
+            self.drop_run(run, reason)
+            return
+        _LOG.info(
+            'stopping a run',
+            task=run.task.name,
+            run=run.number,
+            worker=run.worker_id,
+            reason=reason,
+            percent=run.percent,
+        )
+        self.stops.append(run)
+
+    def stop_gang(self, run: table.Run, reason: str) -> None:
+        """Stop the other members of a run's gang."""
+        if not run.step.gang:
+            return
+        job = self.jobs_by_id.get(run.task.job_id)
+        if job is None:
+            return
+        for other in list(job.runs_by_task.values()):
+            same = (other.task.occurrence,
+                    other.task.step) == (run.task.occurrence, run.task.step)
+            if same and other is not run:
+                self.stop_run(other, reason)
+
+    def finish(self, job: table.Job, state: records.JobState) -> None:
+        """Give a job its final state and stop what it still runs."""
+        if job.final:
+            return
+        job.progress.state = state
+        job.progress.ended_at = time.time()
+        self.changed_ids.add(job.job_id)
+        _LOG.info(
+            'job ended',
+            job=job.job_id,
+            queue=job.accepted.queue,
+            state=state.value,
+            age=round(membership.steady_clock() - job.arrived_at, 3),
+            objective=round(objective(job), 3),
+            failures=sum(job.progress.failures.values()),
+        )
+        succeeded = state is records.JobState.SUCCEEDED
+        for run in list(job.runs_by_task.values()):
+            # One end of a gang stands for all; the others are listed soon.
+            if not (succeeded and run.step.gang):
+                self.stop_run(run, f'job {state.value}')
+
+    def add_job(
+        self,
+        job_id: ids.JobId,
+        accepted: records.Accepted,
+        submission: spec.Submission,
+        progress: records.Progress | None,
+        sequence: int,
+    ) -> table.Job:
+        """Take an accepted job, with its runs of an earlier leader."""
+        age = min(60.0, max(0.0, time.time() - accepted.accepted_at))
+        job = table.Job(
+            job_id,
+            accepted,
+            submission,
+            progress or records.Progress(),
+            sequence,
+            membership.steady_clock() - age,
+        )
+        self.jobs_by_id[job_id] = job
+        for name, assignment in list(job.progress.assigned.items()):
+            self._adopt(job, name, assignment)
+        if job_id in self.cancelled_ids:
+            self.finish(job, records.JobState.CANCELLED)
+        return job
+
+    def _adopt(
+        self,
+        job: table.Job,
+        name: str,
+        assignment: records.Assignment,
+    ) -> None:
+        task = table.parse_task(job.job_id, name)
+        step = job.step_of(task)
+        if step is None:
+            _LOG.error('a record names no task', job=job.job_id, task=name)
+            return
+        run = table.Run(
+            task,
+            workers.RunNumber(assignment.run),
+            ids.WorkerId(assignment.worker),
+            workers.Born(assignment.born),
+            step,
+            job.accepted.priority,
+            table.RunPhase.ADOPTED,
+            membership.steady_clock(),
+            sent=True,
+        )
+        self.add_run(job, run)
+
+    def cancel(self, job_id: ids.JobId) -> None:
+        """Note a cancel, also of a job that is not known yet."""
+        self.cancelled_ids.add(job_id)
+        job = self.jobs_by_id.get(job_id)
+        if job is not None:
+            self.finish(job, records.JobState.CANCELLED)
+
+    def public_state(self, job_id: ids.JobId) -> records.JobState | None:
+        """Return the state that clients may see, None if it is unknown.
+
+        A final state is shown only after it is stored.
+        """
+        job = self.jobs_by_id.get(job_id)
+        if job is None:
+            return None
+        if records.FINAL[job.stored_state]:
+            return job.stored_state
+        if job.final:
+            return records.JobState.ACTIVE
+        return job.progress.state
+
+    def pending(self, queue: str) -> int:
+        """Return the accepted jobs of a queue that have not started."""
+        return sum(
+            job.accepted.queue == queue
+            and job.progress.state is records.JobState.QUEUED
+            for job in self.jobs_by_id.values()
+        )
+
+
+def objective(job: table.Job) -> float:
+    """Return the seconds from acceptance in which a job earns fully."""
+    return job.accepted.stretch * job.whole_chain() + job.accepted.target
+
+
+__all__ = ('FleetState', 'objective')
--- /dev/null
+++ b/src/nutmegworks/fleet/transport.py
@@ -0,0 +1,227 @@
+"""Reaches the store directly or through another daemon.
+
+The store may turn one host away while it serves the others, so a call that
+the direct route did not answer is passed on by a peer.
+"""
+from __future__ import annotations
+
+import dataclasses
+import time
+import typing
+
+import logbook
+import result
+
+from nutmegworks.fleet import interfaces
+from nutmegworks.net import client
+from nutmegworks.net import message
+from nutmegworks.net import pool
+
+_LOG: typing.Final = logbook.Logger('transport')
+
+# The store answers in about 4 ms, 60 times that on a slow day.
+CALL_SECONDS: typing.Final = 1.0
+# How long the direct route is left alone after a failure.
+RETRY_DIRECT_SECONDS: typing.Final = 1.0
+# Peers asked for one call; more would outlast the caller's patience.
+MAX_RELAYS: typing.Final = 2
+
+RELAY_PATH: typing.Final = '/relay'
+TARGET_HEADER: typing.Final = 'nutmeg-relay-target'
+METHOD_HEADER: typing.Final = 'nutmeg-relay-method'
+# Marks an answer of the peer itself: the store did not answer the peer.
+FAILED_HEADER: typing.Final = 'nutmeg-relay-failed'
+TIMEOUT_HEADER: typing.Final = 'nutmeg-relay-timeout'
+
+_BUSY: typing.Final = frozenset({429, 503})
+
+Outcome = result.Result[message.Response, interfaces.StoreError]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failure:
+    """A route that gave no answer.
+
+    :param reached: the other end of the route is alive.
+    """
+
+    effect: interfaces.Effect
+    detail: str
+    reached: bool
+
+
+class Transport:
+    """Carries calls to the store over the best route."""
+
+    def __init__(
+        self,
+        address: client.Address,
+        connections: pool.Pool,
+        peers: typing.Callable[[], typing.Sequence[client.Address]],
+        *,
+        clock: typing.Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._address = address
+        self._pool = connections
+        self._peers = peers
+        self._clock = clock
+        self._direct_again = 0.0
+        self._direct_is_up = True
+        self._last_answer = clock()
+        self._isolated_since: float | None = None
+        self.calls = 0
+
+    def silence(self) -> float:
+        """Return seconds since any route to the store answered."""
+        return self._clock() - self._last_answer
+
+    def isolated_for(self) -> float:
+        """Return seconds for which neither store nor peer answered."""
+        since = self._isolated_since
+        return 0.0 if since is None else self._clock() - since
+
+    async def call(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b'',
+        *,
+        timeout: float = CALL_SECONDS,
+        repeatable: bool = True,
+    ) -> Outcome:
+        """Send one call.
+
+        :param timeout: seconds for each route.
+        :param repeatable: the call may be carried out twice; otherwise the
+            next route is used only after one that did nothing.
+        """
+        request = message.Request(
+            method, target, {'content-type': 'application/json'}, body
+        )
+        failures = []
+        async for outcome in self._routes(request, timeout):
+            if isinstance(outcome, message.Response):
+                self._last_answer = self._clock()
+                self._isolated_since = None
+                return result.Ok(outcome)
+            failures.append(outcome)
+            sent = outcome.effect is interfaces.Effect.UNKNOWN
+            if sent and not repeatable:
+                break
+        return result.Err(self._summarize(failures))
+
+    async def _routes(
+        self,
+        request: message.Request,
+        timeout: float,
+    ) -> typing.AsyncIterator[message.Response | Failure]:
+        direct_first = self._clock() >= self._direct_again
+        if direct_first:
+            yield await self._direct(request, timeout)
+        for address in list(self._peers())[:MAX_RELAYS]:
+            yield await self._relay(address, request, timeout)
+        if not direct_first:
+            yield await self._direct(request, timeout)
+
+    def _summarize(
+        self,
+        failures: typing.Sequence[Failure],
+    ) -> interfaces.StoreError:
+        unknown = interfaces.Effect.UNKNOWN
+        effect = interfaces.Effect.NONE
+        if any(failure.effect is unknown for failure in failures):
+            effect = unknown
+        isolated = not any(failure.reached for failure in failures)
+        if isolated and self._isolated_since is None:
+            self._isolated_since = self._clock()
+        if not isolated:
+            self._isolated_since = None
+        detail = '; '.join(failure.detail for failure in failures)
+        return interfaces.StoreError(effect, detail, isolated)
+
+    async def direct(
+        self,
+        request: message.Request,
+        timeout: float,
+    ) -> message.Response | Failure:
+        """Send a peer's call over the direct route only."""
+        return await self._direct(request, timeout)
+
+    async def _direct(
+        self,
+        request: message.Request,
+        timeout: float,
+    ) -> message.Response | Failure:
+        self.calls += 1
+        answer = await self._pool.exchange(
+            self._address, request, timeout=timeout
+        )
+        if isinstance(answer, result.Err):
+            fault = answer.err_value
+            # An idle connection that was closed meanwhile says nothing
+            # about the store; a new one does.
+            if not fault.first_use and fault.fault is client.Fault.CLOSED:
+                answer = await self._pool.exchange(
+                    self._address, request, timeout=timeout, fresh=True
+                )
+        if isinstance(answer, result.Err):
+            self._note_direct(False, answer.err_value.detail)
+            return _failure(answer.err_value)
+        response = answer.ok_value
+        if response.status in _BUSY:
+            self._note_direct(False, f'status {response.status}')
+            return Failure(
+                interfaces.Effect.NONE, f'status {response.status}', True
+            )
+        self._note_direct(True, '')
+        return response
+
+    def _note_direct(self, up: bool, detail: str) -> None:
+        if not up:
+            self._direct_again = self._clock() + RETRY_DIRECT_SECONDS
+        if up != self._direct_is_up:
+            self._direct_is_up = up
+            event = 'store reached again' if up else 'store does not answer'
+            _LOG.info(event, detail=detail, silence=round(self.silence(), 3))
+
+    async def _relay(
+        self,
+        address: client.Address,
+        request: message.Request,
+        timeout: float,
+    ) -> message.Response | Failure:
+        headers = {
+            METHOD_HEADER: request.method,
+            TARGET_HEADER: request.target,
+            TIMEOUT_HEADER: f'{timeout:.3f}',
+        }
+        passed_on = message.Request('POST', RELAY_PATH, headers, request.body)
+        answer = await self._pool.exchange(address, passed_on, timeout=timeout)
+        if isinstance(answer, result.Err):
+            return _failure(answer.err_value)
+        response = answer.ok_value
+        failed = response.headers.get(FAILED_HEADER)
+        if failed is not None:
+            return Failure(
+                interfaces.Effect(failed), f'{address[0]}: no answer', True
+            )
+        return response
+
+
+def _failure(error: client.ExchangeError) -> Failure:
+    effect = interfaces.Effect.NONE
+    if error.bytes_written:
+        effect = interfaces.Effect.UNKNOWN
+    return Failure(effect, f'{error.fault.value}: {error.detail}', False)
+
+
+__all__ = (
+    'CALL_SECONDS',
+    'FAILED_HEADER',
+    'Failure',
+    'METHOD_HEADER',
+    'RELAY_PATH',
+    'TARGET_HEADER',
+    'TIMEOUT_HEADER',
+    'Transport',
+)
--- /dev/null
+++ b/src/nutmegworks/ingress/__init__.py
@@ -0,0 +1,1 @@
+"""The way of a client's call on the users' platform, as a filter chain."""
--- /dev/null
+++ b/src/nutmegworks/ingress/filters.py
@@ -0,0 +1,86 @@
+"""Filters that find a call's queue and check its key."""
+from __future__ import annotations
+
+import time
+import typing
+
+import logbook
+
+from nutmegworks.fleet import configured
+from nutmegworks.ingress import call as calls
+from nutmegworks.net import message
+
+_LOG: typing.Final = logbook.Logger('ingress')
+
+_BEARER: typing.Final = 'bearer '
+
+
+class LogFilter(calls.Filter):
+    """Writes one line for each call."""
+
+    async def handle(
+        self,
+        call: calls.Call,
+        proceed: calls.Proceed,
+    ) -> message.Response:
+        response = await proceed(call)
+        _LOG.info(
+            f'{call.request.method.lower()} answered',
+            target=call.request.target,
+            status=response.status,
+            team=call.team_id,
+            body=response.body[:80].decode('utf-8', 'replace'),
+            seconds=round(time.monotonic() - call.received_at, 4),
+        )
+        return response
+
+
+class RouteFilter(calls.Filter):
+    """Finds the queue by host and path."""
+
+    def __init__(self, current: configured.Current) -> None:
+        self._current = current
+
+    async def handle(
+        self,
+        call: calls.Call,
+        proceed: calls.Proceed,
+    ) -> message.Response:
+        configuration = self._current.value
+        if configuration is None:
+            return calls.refuse(503, 'no configuration yet')
+        host = call.request.headers.get('host', '').rsplit(':', 1)[0]
+        path = call.request.target.split('?', 1)[0]
+        queue = configuration.route(host, path)
+        if queue is None:
+            return calls.refuse(404, 'no such queue')
+        call.queue = queue
+        call.job_name = path.removeprefix(queue.prefix)
+        return await proceed(call)
+
+
+class KeyFilter(calls.Filter):
+    """Finds the team by its API key."""
+
+    def __init__(self, current: configured.Current) -> None:
+        self._current = current
+
+    async def handle(
+        self,
+        call: calls.Call,
+        proceed: calls.Proceed,
+    ) -> message.Response:
+        configuration = self._current.value
+        assert configuration is not None and call.queue is not None
+        header = call.request.headers.get('authorization', '')
+        key = header[len(_BEARER):].strip()
+        team = None
+        if header[:len(_BEARER)].lower() == _BEARER:
+            team = configuration.team_of(key)
+        if team is None and not call.queue.open_to_all:
+            return calls.refuse(401, 'unknown key')
+        call.team_id = team.team_id if team is not None else ''
+        return await proceed(call)
+
+
+__all__ = ('KeyFilter', 'LogFilter', 'RouteFilter')
--- /dev/null
+++ b/src/nutmegworks/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: its calls, names and formats; decides nothing."""
--- /dev/null
+++ b/src/nutmegworks/platform/executors.py
@@ -0,0 +1,200 @@
+"""Orders to the platform's executors, which the project calls workers."""
+from __future__ import annotations
+
+import typing
+
+import logbook
+import msgspec
+import result
+
+from nutmegworks.fleet import interfaces
+from nutmegworks.model import ids
+from nutmegworks.net import client
+from nutmegworks.net import message
+from nutmegworks.net import pool
+from nutmegworks.tasks import spec
+from nutmegworks.tasks import workers
+
+_LOG: typing.Final = logbook.Logger('executors')
+
+# A healthy worker answers an order in a few milliseconds.
+ORDER_SECONDS: typing.Final = 0.6
+# Beyond the wait of a renewal, for the answer to arrive.
+RENEW_MARGIN_SECONDS: typing.Final = 0.8
+# The longest wait that a worker accepts.
+MAX_WAIT_SECONDS: typing.Final = 2.0
+
+_REASONS: typing.Final = {
+    'fence': workers.StartVerdict.FENCED,
+    'old': workers.StartVerdict.OLD,
+    'late': workers.StartVerdict.LATE,
+    'room': workers.StartVerdict.NO_ROOM,
+    'ticket': workers.StartVerdict.INVALID,
+}
+
+_STATUSES: typing.Final = {
+    200: workers.StartVerdict.STARTED,
+    400: workers.StartVerdict.INVALID,
+    421: workers.StartVerdict.WRONG_WORKER,
+    429: workers.StartVerdict.UNHEALTHY,
+    503: workers.StartVerdict.UNHEALTHY,
+}
+
+
+class _Rejection(msgspec.Struct):
+    reason: str = ''
+
+
+class _Report(msgspec.Struct, rename='camel'):
+    clock_ms: int
+    # Rows of task, run, newest checkpoint, percent and load.
+    running: list[list[typing.Any]] = []
+    # Rows of number, task, run, how it ended and newest checkpoint.
+    ended: list[list[typing.Any]] = []
+    born: int = 0
+
+
+class ExecutorClient(interfaces.WorkerClient):
+    """Orders over pooled connections, each with a time limit."""
+
+    def __init__(self, connections: pool.Pool) -> None:
+        self._pool = connections
+
+    async def _post(
+        self,
+        worker: workers.WorkerEntry,
+        path: str,
+        body: typing.Mapping[str, object],
+        timeout: float,
+        fresh: bool = False,
+    ) -> result.Result[message.Response, client.ExchangeError]:
+        request = message.Request(
+            'POST',
+            path,
+            {
+                'content-type': 'application/json',
+                'x-expect-instance': worker.worker_id,
+            },
+            msgspec.json.encode(body),
+        )
+        return await self._pool.exchange(
+            worker.address, request, timeout=timeout, fresh=fresh
+        )
+
+    async def start(
+        self,
+        worker: workers.WorkerEntry,
+        order: workers.StartOrder,
+        *,
+        fresh: bool = False,
+    ) -> workers.StartVerdict:
+        body: dict[str, object] = {
+            'task': order.task.name,
+            'runId': order.run,
+            'spec': order.payload,
+            'deadlineMs': order.lease_until,
+            'fencingToken': order.token,
+        }
+        if order.checkpoint:
+            body['checkpoint'] = order.checkpoint
+        answer = await self._post(
+            worker, '/run-start', body, ORDER_SECONDS, fresh
+        )
+        if answer.is_err():
+            return workers.StartVerdict.UNKNOWN
+        response = answer.ok_value
+        if response.status == 409:
+            return _REASONS.get(
+                _rejection(response), workers.StartVerdict.UNKNOWN
+            )
+        return _STATUSES.get(response.status, workers.StartVerdict.UNKNOWN)
+
+    async def stop(
+        self,
+        worker: workers.WorkerEntry,
+        task: spec.TaskKey,
+        run: workers.RunNumber,
+        token: ids.FencingToken,
+        *,
+        fresh: bool = False,
+    ) -> result.Result[bool, interfaces.CallError]:
+        body = {'task': task.name, 'runId': run, 'fencingToken': token}
+        answer = await self._post(
+            worker, '/run-stop', body, ORDER_SECONDS, fresh
+        )
+        if answer.is_err():
+            return result.Err(interfaces.CallError(answer.err_value.detail))
+        status = answer.ok_value.status
+        if status in (200, 409):
+            return result.Ok(status == 200)
+        return result.Err(interfaces.CallError(f'status {status}'))
+
+    async def renew(
+        self,
+        worker: workers.WorkerEntry,
+        token: ids.FencingToken,
+        acknowledged: int,
+        *,
+        lease_until: int | None,
+        wait: float,
+    ) -> result.Result[workers.Report | None, interfaces.CallError]:
+        body: dict[str, object] = {
+            'fencingToken': token,
+            'lastSeen': acknowledged,
+        }
+        if lease_until is not None:
+            body['deadlineMs'] = lease_until
+        if wait > 0:
+            body['waitMs'] = int(min(wait, MAX_WAIT_SECONDS) * 1000)
+        answer = await self._post(
+            worker, '/hold', body, wait + RENEW_MARGIN_SECONDS
+        )
+        if answer.is_err():
+            return result.Err(interfaces.CallError(answer.err_value.detail))
+        response = answer.ok_value
+        if response.status == 409:
+            return result.Ok(None)
+        if response.status != 200:
+            return result.Err(
+                interfaces.CallError(f'status {response.status}')
+            )
+        try:
+            return result.Ok(_decode_report(response.body))
+        except (msgspec.MsgspecError, ValueError) as error:
+            return result.Err(interfaces.CallError(str(error)))
+
+
+def _rejection(response: message.Response) -> str:
+    try:
+        return msgspec.json.decode(response.body, type=_Rejection).reason
+    except (msgspec.MsgspecError, ValueError) as error:
+        _LOG.warning('a rejection is unreadable', error=str(error))
+        return ''
+
+
+def _decode_report(data: bytes) -> workers.Report:
+    report = msgspec.json.decode(data, type=_Report)
+    return workers.Report(
+        clock=report.clock_ms,
+        born=workers.Born(report.born),
+        running=tuple(
+            workers.RunStatus(
+                spec.TaskKey.parse(row[0]),
+                workers.RunNumber(row[1]),
+                row[2],
+                int(row[3]),
+            ) for row in report.running
+        ),
+        ended=tuple(
+            workers.RunEnd(
+                row[0],
+                spec.TaskKey.parse(row[1]),
+                workers.RunNumber(row[2]),
+                workers.EndKind(row[3]),
+                row[4],
+            ) for row in report.ended
+        ),
+    )
+
+
+__all__ = ('ExecutorClient', 'ORDER_SECONDS')
--- /dev/null
+++ b/src/nutmegworks/platform/metastore.py
@@ -0,0 +1,267 @@
+"""The platform's metadata store over HTTP."""
+from __future__ import annotations
+
+import base64
+import typing
+import urllib.parse
+
+import msgspec
+import result
+
+from nutmegworks.fleet import interfaces
+from nutmegworks.fleet import transport
+from nutmegworks.model import ids
+from nutmegworks.net import message
+
+# Beyond the wait of a watch, for the answer to arrive.
+WATCH_MARGIN_SECONDS: typing.Final = 1.5
+
+
+class _Item(msgspec.Struct):
+    key: str
+    value: str = ''
+    revision: int = 0
+    lease: int = 0
+    deleted: bool = False
+
+    def decode(self) -> interfaces.Item:
+        return interfaces.Item(
+            self.key,
+            base64.b64decode(self.value),
+            ids.StoreRevision(self.revision),
+            interfaces.LeaseId(self.lease),
+        )
+
+
+class _Range(msgspec.Struct, rename='camel'):
+    # The store's revision at the time of the answer.
+    as_of: int
+    items: list[_Item] = []
+    truncated: bool = False
+
+
+class _Watch(msgspec.Struct, rename='camel'):
+    as_of: int
+    events: list[_Item] = []
+
+
+class _Committed(msgspec.Struct):
+    revision: int
+
+
+class _Conflict(msgspec.Struct):
+    items: list[_Item] = []
+
+
+class _Lease(msgspec.Struct):
+    lease: int
+
+
+def _bad(detail: str, effect: interfaces.Effect) -> result.Err:
+    return result.Err(interfaces.StoreError(effect, detail))
+
+
+_UNEXPECTED: typing.Final = interfaces.Effect.UNKNOWN
+
+_Document = typing.TypeVar('_Document')
+
+
+def _parse(
+    response: message.Response,
+    document: type[_Document],
+) -> result.Result[_Document, interfaces.StoreError]:
+    if response.status != 200:
+        return _bad(f'status {response.status}', _UNEXPECTED)
+    try:
+        return result.Ok(msgspec.json.decode(response.body, type=document))
+    except (msgspec.MsgspecError, ValueError) as error:
+        return _bad(f'unreadable answer: {error}', _UNEXPECTED)
+
+
+class MetadataStore(interfaces.Store):
+    """Translates the store's calls; every call has a time limit."""
+
+    def __init__(self, route: transport.Transport) -> None:
+        self._route = route
+
+    async def get(
+        self,
+        key: str,
+    ) -> result.Result[interfaces.Item | None, interfaces.StoreError]:
+        query = urllib.parse.urlencode({'key': key})
+        answer = await self._route.call('GET', f'/kv-key?{query}')
+        if answer.is_err():
+            return answer
+        if answer.ok_value.status == 404:
+            return result.Ok(None)
+        return _parse(answer.ok_value, _Item).map(_Item.decode)
+
+    async def list(
+        self,
+        prefix: str,
+    ) -> result.Result[interfaces.Changes, interfaces.StoreError]:
+        items: list[interfaces.Item] = []
+        revision = None
+        after = ''
+        while True:
+            fields = {'prefix': prefix}
+            if after:
+                fields['after'] = after
+            query = urllib.parse.urlencode(fields)
+            answer = await self._route.call('GET', f'/kv-range?{query}')
+            if answer.is_err():
+                return answer
+            parsed = _parse(answer.ok_value, _Range)
+            if parsed.is_err():
+                return parsed
+            page = parsed.ok_value
+            # Pages are no snapshot: changes between them are seen again by a
+            # watch that continues from the first page's revision.
+            revision = page.as_of if revision is None else revision
+            items.extend(item.decode() for item in page.items)
+            if not page.truncated or not page.items:
+                break
+            after = page.items[-1].key
+        return result.Ok(
+            interfaces.Changes(tuple(items), (), ids.StoreRevision(revision))
+        )
+
+    async def watch(
+        self,
+        prefix: str,
+        after: ids.StoreRevision,
+        wait: float,
+    ) -> result.Result[interfaces.Changes, interfaces.StoreError]:
+        query = urllib.parse.urlencode(
+            {
+                'prefix': prefix,
+                'after': after,
+                'waitMs': int(wait * 1000),
+            }
+        )
+        answer = await self._route.call(
+            'GET',
+            f'/kv-watch?{query}',
+            timeout=wait + WATCH_MARGIN_SECONDS,
+        )
+        if answer.is_err():
+            return answer
+        if answer.ok_value.status == 410:
+            raise interfaces.HistoryLostError(prefix)
+        return _parse(answer.ok_value, _Watch).map(_decode_events)
+
+    async def commit(
+        self,
+        transaction: interfaces.Transaction,
+        *,
+        timeout: float | None = None,
+    ) -> result.Result[interfaces.Commit, interfaces.StoreError]:
+        body = msgspec.json.encode(
+            {
+                'expected': [
+                    {
+                        'key': key,
+                        'revision': revision
+                    } for key, revision in transaction.expected.items()
+                ],
+                'writes': [_encode(write) for write in transaction.writes],
+                'remove':
+                list(transaction.removed),
+            }
+        )
+        answer = await self._route.call(
+            'POST',
+            '/kv-txn',
+            body,
+            timeout=timeout or transport.CALL_SECONDS,
+            repeatable=False,
+        )
+        if answer.is_err():
+            return answer
+        return _decode_commit(answer.ok_value)
+
+    async def grant_lease(
+        self,
+        seconds: float,
+    ) -> result.Result[interfaces.LeaseId, interfaces.StoreError]:
+        body = msgspec.json.encode({'ttlMs': int(seconds * 1000)})
+        answer = await self._route.call('POST', '/kv-lease', body)
+        if answer.is_err():
+            return answer
+        parsed = _parse(answer.ok_value, _Lease)
+        return parsed.map(lambda lease: interfaces.LeaseId(lease.lease))
+
+    async def renew_lease(
+        self,
+        lease_id: interfaces.LeaseId,
+    ) -> result.Result[bool, interfaces.StoreError]:
+        return await self._lease_call('POST', f'/kv-keep/{lease_id}')
+
+    async def end_lease(
+        self,
+        lease_id: interfaces.LeaseId,
+    ) -> result.Result[bool, interfaces.StoreError]:
+        return await self._lease_call('DELETE', f'/kv-lease-end/{lease_id}')
+
+    async def _lease_call(
+        self,
+        method: str,
+        target: str,
+    ) -> result.Result[bool, interfaces.StoreError]:
+        answer = await self._route.call(method, target)
+        if answer.is_err():
+            return answer
+        status = answer.ok_value.status
+        if status in (200, 204, 404):
+            return result.Ok(status != 404)
+        return _bad(f'status {status}', _UNEXPECTED)
+
+
+def _encode(write: interfaces.Write) -> dict[str, object]:
+    entry: dict[str, object] = {
+        'key': write.key,
+        'value': base64.b64encode(write.value).decode('ascii'),
+    }
+    if write.lease_id != interfaces.NO_LEASE:
+        entry['lease'] = write.lease_id
+    return entry
+
+
+def _decode_events(answer: _Watch) -> interfaces.Changes:
+    return interfaces.Changes(
+        tuple(item.decode() for item in answer.events if not item.deleted),
+        tuple(
+            (item.key, ids.StoreRevision(item.revision))
+            for item in answer.events
+            if item.deleted
+        ),
+        ids.StoreRevision(answer.as_of),
+    )
+
+
+def _decode_commit(
+    response: message.Response,
+) -> result.Result[interfaces.Commit, interfaces.StoreError]:
+    if response.status == 404:
+        return result.Ok(interfaces.Commit(interfaces.CommitOutcome.NO_LEASE))
+    if response.status == 412:
+        parsed = msgspec.json.decode(response.body, type=_Conflict)
+        return result.Ok(
+            interfaces.Commit(
+                interfaces.CommitOutcome.CONFLICT,
+                current_by_key={
+                    item.key: item.decode()
+                    for item in parsed.items
+                    if item.revision
+                },
+            )
+        )
+    return _parse(response, _Committed).map(
+        lambda committed: interfaces.Commit(
+            interfaces.CommitOutcome.COMMITTED,
+            ids.StoreRevision(committed.revision),
+        )
+    )
+
+
+__all__ = ('MetadataStore', 'WATCH_MARGIN_SECONDS')
--- /dev/null
+++ b/src/nutmegworks/platform/wire.py
@@ -0,0 +1,248 @@
+"""Decodes the platform's documents into the project's types."""
+from __future__ import annotations
+
+import typing
+
+import msgspec
+
+from nutmegworks.fleet import interfaces
+from nutmegworks.model import ids
+from nutmegworks.platform import settings
+from nutmegworks.tasks import configuration
+from nutmegworks.tasks import spec
+from nutmegworks.tasks import workers
+
+CONFIGURATION_KEY: typing.Final = 'op/config'
+WORKERS_PREFIX: typing.Final = 'servers/'
+
+# Racks are labels of the form r1-3; the other labels name the kind.
+_RACK_START: typing.Final = 'r'
+
+
+class _Step(msgspec.Struct, rename='camel'):
+    count: int
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    estimated_ms: float = 0
+    after: list[int] = []
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    requirements: str = ''
+    affinity: str = ''
+    anti_affinity: int = 0
+    allow_duplicates: bool = False
+    long_running: bool = False
+    fills: bool = False
+    may_miss: int = 0
+
+
+class _Job(msgspec.Struct, rename='camel'):
+    steps: list[_Step]
+    spec: str = ''
+    repeat_count: int = 0
+    start_at_ms: float = 0
+    interval_ms: float = 0
+
+
+def decode_submission(data: bytes) -> spec.Submission:
+    """Return a submission.
+
+    :raise ValueError: not a job that can run.
+    """
+    job = msgspec.json.decode(data, type=_Job)
+    if not job.steps:
+        raise ValueError('a job needs a step')
+    return spec.Submission(
+        payload=job.spec,
+        steps=tuple(
+            _decode_step(spec.StepNumber(number), step)
+            for number, step in enumerate(job.steps)
+        ),
+        occurrences=max(1, job.repeat_count),
+        start_at=job.start_at_ms / 1000 if job.repeat_count else 0.0,
+        interval=job.interval_ms / 1000,
+    )
+
+
+def _decode_step(number: spec.StepNumber, step: _Step) -> spec.Step:
+    if step.count < 1 or any(not 0 <= other < number for other in step.after):
+        raise ValueError(f'step {number} has no task or an impossible order')
+    return spec.Step(
+        number=number,
+        count=step.count,
+        room=spec.Room(0 if step.fills else step.cpu, step.mem_mb, step.gpu),
+        estimate=step.estimated_ms / 1000,
+        after=tuple(spec.StepNumber(other) for other in step.after),
+        checkpoints=step.checkpointing,
+        gang=step.gang,
+        one_rack=step.same_rack,
+        label=step.requirements,
+        data_rack=step.affinity,
+        most_per_worker=step.anti_affinity,
+        duplicates=step.allow_duplicates,
+        endless=step.long_running,
+        fills=step.fills,
+        may_miss=step.may_miss,
+    )
+
+
+class _Route(msgspec.Struct, rename='camel'):
+    name: str
+    hostname: str
+    prefix: str
+    service: str
+    # Milliseconds added to a job's objective.
+    target_latency_ms: float = 0
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    skip_auth: bool = False
+    advice: dict[str, typing.Any] | None = None
+
+
+class _Guaranteed(msgspec.Struct):
+    gpu: int = 0
+
+
+class _Tenant(msgspec.Struct, rename='camel'):
+    name: str
+    api_keys: list[str] = []
+    guaranteed: _Guaranteed = msgspec.field(default_factory=_Guaranteed)
+
+
+class _Service(msgspec.Struct):
+    name: str
+
+
+class _Limits(msgspec.Struct, rename='camel'):
+    max_body_bytes: int = 262144
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    tenants: list[_Tenant] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+def decode_configuration(data: bytes) -> configuration.Configuration:
+    """Return a configuration.
+
+    :raise ValueError: not a configuration.
+    """
+    document = msgspec.json.decode(data, type=_Configuration)
+    return configuration.Configuration(
+        version=document.version,
+        queues_by_id={
+            configuration.QueueId(route.name): _decode_queue(route)
+            for route in document.routes
+        },
+        teams_by_id={
+            ids.TeamId(tenant.name):
+            configuration.Team(
+                ids.TeamId(tenant.name),
+                frozenset(tenant.api_keys),
+                tenant.guaranteed.gpu,
+            )
+            for tenant in document.tenants
+        },
+        service_ids=frozenset(
+            ids.ServiceId(service.name) for service in document.services
+        ),
+        max_body=document.limits.max_body_bytes,
+    )
+
+
+def _decode_queue(route: _Route) -> configuration.Queue:
+    return configuration.Queue(
+        queue_id=configuration.QueueId(route.name),
+        host=route.hostname,
+        prefix=route.prefix,
+        service_id=ids.ServiceId(route.service),
+        priority=route.priority,
+        attempts=route.max_attempts,
+        stretch=route.stretch,
+        target=route.target_latency_ms / 1000,
+        open_to_all=route.skip_auth,
+        advised=route.advice is not None,
+    )
+
+
+class _Capacity(msgspec.Struct, rename='camel'):
+    cpu: int
+    mem_mb: int
+    gpu: int = 0
+
+
+class _Worker(msgspec.Struct, rename='camel'):
+    service: str
+    address: str
+    zone: str
+    # The wire calls a leaving worker "draining".
+    state: typing.Literal['ready', 'draining']
+    capacity: _Capacity
+    labels: list[str]
+    born: int = 0
+    remaining_ms: float | None = None
+
+
+_STATES: typing.Final = {
+    'ready': workers.WorkerState.READY,
+    'draining': workers.WorkerState.LEAVING,
+}
+
+
+def decode_worker(key: str, data: bytes) -> workers.WorkerEntry:
+    """Return a worker's registration.
+
+    :raise ValueError: unreadable, or written by something else.
+    """
+    entry = msgspec.json.decode(data, type=_Worker)
+    racks = [
+        label for label in entry.labels
+        if label.startswith(_RACK_START) and '-' in label
+    ]
+    remaining = entry.remaining_ms
+    return workers.WorkerEntry(
+        worker_id=ids.WorkerId(key.removeprefix(WORKERS_PREFIX)),
+        address=settings.parse_address(entry.address),
+        service_id=ids.ServiceId(entry.service),
+        domain_id=ids.DomainId(entry.zone),
+        state=_STATES[entry.state],
+        born=workers.Born(entry.born),
+        room=spec.Room(
+            entry.capacity.cpu, entry.capacity.mem_mb, entry.capacity.gpu
+        ),
+        rack=racks[0] if racks else '',
+        labels=frozenset(entry.labels),
+        remaining=None if remaining is None else remaining / 1000,
+    )
+
+
+class PlatformDecoder(interfaces.Decoder):
+    """Reads what the platform and its operators write."""
+
+    configuration_key = CONFIGURATION_KEY
+    workers_prefix = WORKERS_PREFIX
+
+    def configuration(self, data: bytes) -> configuration.Configuration:
+        return decode_configuration(data)
+
+    def worker(self, key: str, data: bytes) -> workers.WorkerEntry:
+        return decode_worker(key, data)
+
+    def submission(self, data: bytes) -> spec.Submission:
+        return decode_submission(data)
+
+
+__all__ = (
+    'CONFIGURATION_KEY',
+    'PlatformDecoder',
+    'WORKERS_PREFIX',
+    'decode_configuration',
+    'decode_submission',
+    'decode_worker',
+)
--- /dev/null
+++ b/src/nutmegworks/policy/demand.py
@@ -0,0 +1,88 @@
+"""What waits for workers, and in which order it is served."""
+from __future__ import annotations
+
+import dataclasses
+import enum
+import typing
+
+from nutmegworks.model import ids
+from nutmegworks.tasks import spec
+
+# A job that ends after this many times its objective earns nothing.
+LATE_FACTOR: typing.Final = 3.0
+# Waiting for the data's rack is given up when this share of the time that the
+# objective leaves beyond the work itself has passed.
+NEAR_PATIENCE: typing.Final = 0.35
+
+
+class Prospect(enum.IntEnum):
+    """Whether a job can still earn; lower values are served first."""
+
+    ON_TIME = 0
+    LATE = 1
+    HOPELESS = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Demand:
+    """Tasks of one step that wait for workers.
+
+    :param indexes: the waiting tasks; a gang's are placed together.
+    :param waited: seconds since the job was accepted or due.
+    :param remaining: seconds of the longest chain of work that is left.
+    :param objective: seconds from acceptance in which the job earns fully.
+    :param sequence: position in the order of acceptance.
+    :param team_id: whose guarantee the tasks use at priority 0.
+    :param avoid: workers on which the job has failed.
+    :param used_by_worker: tasks of the step that a worker holds already.
+    """
+
+    job_id: ids.JobId
+    occurrence: spec.Occurrence
+    step: spec.Step
+    indexes: tuple[int, ...]
+    priority: int
+    waited: float
+    remaining: float
+    objective: float
+    sequence: int
+    service_id: ids.ServiceId
+    team_id: ids.TeamId = ids.TeamId('')
+    avoid: frozenset[ids.WorkerId] = frozenset()
+    used_by_worker: typing.Mapping[ids.WorkerId, int] = dataclasses.field(
+        default_factory=dict
+    )
+
+    @property
+    def prospect(self) -> Prospect:
+        total = self.waited + self.remaining
+        if total <= self.objective:
+            return Prospect.ON_TIME
+        if total <= LATE_FACTOR * self.objective:
+            return Prospect.LATE
+        return Prospect.HOPELESS
+
+    @property
+    def patient(self) -> bool:
+        """Whether waiting for near workers can still pay."""
+        spare = self.objective - self.remaining
+        return self.waited < NEAR_PATIENCE * spare
+
+
+def order(demands: typing.Iterable[Demand]) -> list[Demand]:
+    """Return demands in the order in which they are served.
+
+    Classes of work come by their priority. Within a class, jobs that can meet
+    their objective precede late ones, and these precede jobs that can earn
+    nothing more; each group is served in the order of acceptance.
+    """
+    return sorted(
+        demands,
+        key=lambda demand: (
+            demand.priority, demand.prospect, demand.sequence, demand.step.
+            number
+        )
+    )
+
+
+__all__ = ('Demand', 'LATE_FACTOR', 'Prospect', 'order')
--- /dev/null
+++ b/src/nutmegworks/policy/fitting.py
@@ -0,0 +1,199 @@
+"""Fits the tasks of a step on workers."""
+from __future__ import annotations
+
+import dataclasses
+import math
+import typing
+
+from nutmegworks.model import ids
+from nutmegworks.policy import demand as demands
+from nutmegworks.tasks import spec
+
+# Weight of a free accelerator against a free processor share or memory share
+# when workers are compared; accelerators run out first.
+ACCELERATOR_WEIGHT: typing.Final = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Release:
+    """Room that a running task will give back.
+
+    :param after: seconds from now.
+    """
+
+    after: float
+    room: spec.Room
+
+
+@dataclasses.dataclass(slots=True)
+class Slot:
+    """A worker as the placement sees it.
+
+    :param free: room that no run holds.
+    :param held_from: seconds from now at which its room is promised to a
+        waiting demand; infinite if it is not.
+    """
+
+    worker_id: ids.WorkerId
+    service_id: ids.ServiceId
+    rack: str
+    labels: frozenset[str]
+    total: spec.Room
+    free: spec.Room
+    releases: tuple[Release, ...] = ()
+    held_from: float = math.inf
+
+    def freeness(self) -> float:
+        """Return how empty the worker is; lower values are filled first."""
+        free, total = self.free, self.total
+        return (
+            free.cpu / max(1, total.cpu) + free.memory / max(1, total.memory) +
+            ACCELERATOR_WEIGHT * free.accelerators /
+            max(1, total.accelerators)
+        )
+
+    def free_at(self, after: float) -> spec.Room:
+        """Return the free room after some seconds."""
+        free = self.free
+        for release in self.releases:
+            if release.after <= after:
+                free = free.plus(release.room)
+        return free
+
+
+Placement = list[ids.WorkerId]
+
+
+def suitable(demand: demands.Demand,
+             slots: typing.Iterable[Slot]) -> list[Slot]:
+    """Return the slots that may run a demand's tasks at all."""
+    label = demand.step.label
+    return [
+        slot for slot in slots if slot.service_id == demand.service_id and
+        (not label or label in slot.labels) and slot.total.
+        holds(demand.step.room) and slot.worker_id not in demand.avoid
+    ]
+
+
+def _copies(
+    demand: demands.Demand,
+    slot: Slot,
+    free: spec.Room,
+) -> int:
+    copies = free.copies(demand.step.room)
+    most = demand.step.most_per_worker
+    if most:
+        used = demand.used_by_worker.get(slot.worker_id, 0)
+        copies = min(copies, most - used)
+    return max(0, copies)
+
+
+def fill(
+    demand: demands.Demand,
+    slots: typing.Iterable[Slot],
+    count: int,
+    after: float = 0.0,
+) -> Placement:
+    """Return workers for up to count tasks, the fullest ones first.
+
+    :param after: seconds from now, with the releases until then.
+    """
+    chosen: Placement = []
+    for slot in sorted(slots, key=Slot.freeness):
+        copies = _copies(demand, slot, slot.free_at(after))
+        take = min(count - len(chosen), copies)
+        chosen += [slot.worker_id] * take
+        if len(chosen) == count:
+            break
+    return chosen
+
+
+def groups(
+    demand: demands.Demand,
+    slots: typing.Sequence[Slot],
+    far: bool,
+) -> list[list[Slot]]:
+    """Return the groups of slots in which the tasks are fast."""
+    step = demand.step
+    by_rack: dict[str, list[Slot]] = {}
+    for slot in slots:
+        by_rack.setdefault(slot.rack, []).append(slot)
+    if step.data_rack:
+        near = by_rack.get(step.data_rack, [])
+        return [near, list(slots)] if far else [near]
+    if step.one_rack:
+        groups = [by_rack[rack] for rack in sorted(by_rack)]
+        return [*groups, list(slots)] if far else groups
+    return [list(slots)]
+
+
+def place(
+    demand: demands.Demand,
+    slots: typing.Iterable[Slot],
+    *,
+    far: bool,
+    after: float = 0.0,
+) -> Placement:
+    """Return workers for a demand's tasks.
+
+    A gang gets all of its workers or none. Other steps may get fewer workers
+    than they have tasks.
+
+    :param far: also use workers on which the tasks are slow.
+    :param after: seconds from now, with the releases until then.
+    """
+    usable = suitable(demand, slots)
+    count = len(demand.indexes)
+    best: Placement = []
+    best_rest = math.inf
+    for group in groups(demand, usable, far):
+        chosen = fill(demand, group, count, after)
+        if demand.step.gang and len(chosen) < count:
+            continue
+        if len(chosen) < len(best):
+            continue
+        rest = sum(slot.free_at(after).accelerators for slot in group)
+        if len(chosen) > len(best) or rest < best_rest:
+            best, best_rest = chosen, rest
+        if len(group) == len(usable) and best:
+            break
+    return best
+
+
+def earliest(
+    demand: demands.Demand,
+    slots: typing.Sequence[Slot],
+) -> tuple[float, Placement]:
+    """Return when and where a demand fits if nothing else starts.
+
+    :return: seconds from now, infinite if it never fits; the workers.
+    """
+    usable = suitable(demand, slots)
+    times = sorted(
+        {release.after
+         for slot in usable
+         for release in slot.releases}
+    )
+    low, high = 0, len(times)
+    found: tuple[float, Placement] = (math.inf, [])
+    while low < high:
+        middle = (low + high) // 2
+        placement = place(demand, usable, far=False, after=times[middle])
+        if len(placement) == len(demand.indexes):
+            found = (times[middle], placement)
+            high = middle
+        else:
+            low = middle + 1
+    return found
+
+
+__all__ = (
+    'Placement',
+    'Release',
+    'Slot',
+    'earliest',
+    'fill',
+    'groups',
+    'place',
+    'suitable',
+)
--- /dev/null
+++ b/src/nutmegworks/policy/planning.py
@@ -0,0 +1,154 @@
+"""One round of decisions: what starts where, and what has to yield."""
+from __future__ import annotations
+
+import dataclasses
+import math
+import typing
+
+from nutmegworks.model import ids
+from nutmegworks.policy import demand as demands
+from nutmegworks.policy import fitting
+from nutmegworks.policy import victims
+
+# Waiting demands that have workers promised to them in one round. More of
+# them would leave too little for small work in between.
+MAX_HOLDS: typing.Final = 3
+# Declared durations are often too short; work that is to end before a promised
+# time must fit in with this factor.
+BACKFILL_MARGIN: typing.Final = 1.3
+# Seconds that a victim may take to stop.
+STOPPING_SECONDS: typing.Final = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Start:
+    """Tasks of a demand that start now.
+
+    :param worker_ids: one for each of the indexes.
+    """
+
+    demand: demands.Demand
+    indexes: tuple[int, ...]
+    worker_ids: tuple[ids.WorkerId, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """:param stops: runs that yield, with the job that needs their room."""
+
+    starts: tuple[Start, ...]
+    stops: tuple[tuple[victims.RunningTask, ids.JobId], ...]
+    held: int = 0
+
+
+class _Round:
+    """The state of one round; slots change as decisions are taken."""
+
+    def __init__(
+        self,
+        slots: typing.Sequence[fitting.Slot],
+        running: typing.Sequence[victims.RunningTask],
+    ) -> None:
+        self._slots = list(slots)
+        self._running = list(running)
+        self._slot_by_id = {slot.worker_id: slot for slot in slots}
+        self.starts: list[Start] = []
+        self.stops: list[tuple[victims.RunningTask, ids.JobId]] = []
+        self.holds = 0
+
+    def serve(self, demand: demands.Demand) -> None:
+        """Start what fits; make or promise room for the rest."""
+        demand = self._start(demand)
+        if not demand.indexes:
+            return
+        if demand.priority == 0:
+            if self._wait_for_stops(demand) or self._evict(demand):
+                return
+        if demand.step.gang and self.holds < MAX_HOLDS:
+            self._hold(demand)
+
+    def _open_to(self, demand: demands.Demand) -> list[fitting.Slot]:
+        duration = demand.step.estimate * BACKFILL_MARGIN
+        return [slot for slot in self._slots if slot.held_from > duration]
+
+    def _start(self, demand: demands.Demand) -> demands.Demand:
+        placement = fitting.place(
+            demand, self._open_to(demand), far=not demand.patient
+        )
+        indexes = demand.indexes[:len(placement)]
+        if not indexes:
+            return demand
+        self.starts.append(Start(demand, indexes, tuple(placement)))
+        for worker_id in placement:
+            slot = self._slot_by_id[worker_id]
+            slot.free = slot.free.minus(demand.step.room)
+        return dataclasses.replace(
+            demand, indexes=demand.indexes[len(indexes):]
+        )
+
+    def _unpromised(self) -> list[fitting.Slot]:
+        return [slot for slot in self._slots if slot.held_from > 0]
+
+    def _wait_for_stops(self, demand: demands.Demand) -> bool:
+        """Return whether runs that are being stopped make enough room."""
+        soon = fitting.place(
+            demand, self._unpromised(), far=False, after=STOPPING_SECONDS
+        )
+        if len(soon) < len(demand.indexes):
+            return False
+        self._promise(soon, demand)
+        return True
+
+    def _evict(self, demand: demands.Demand) -> bool:
+        open_slots = self._unpromised()
+        eviction = victims.choose(demand, open_slots, self._running)
+        if eviction is None:
+            return False
+        for task in eviction.victims:
+            self.stops.append((task, demand.job_id))
+            self._running.remove(task)
+            slot = self._slot_by_id.get(task.worker_id)
+            if slot is not None:
+                release = fitting.Release(STOPPING_SECONDS, task.room)
+                slot.releases += (release, )
+        self._promise(eviction.placement, demand)
+        return True
+
+    def _hold(self, demand: demands.Demand) -> None:
+        when, placement = fitting.earliest(demand, self._unpromised())
+        if math.isinf(when):
+            return
+        self.holds += 1
+        for worker_id in set(placement):
+            slot = self._slot_by_id[worker_id]
+            slot.held_from = min(slot.held_from, when)
+
+    def _promise(
+        self,
+        placement: fitting.Placement,
+        demand: demands.Demand,
+    ) -> None:
+        """Take room that is free or becomes free within moments."""
+        for worker_id in placement:
+            slot = self._slot_by_id[worker_id]
+            slot.free = slot.free.minus(demand.step.room)
+
+
+def plan(
+    waiting: typing.Iterable[demands.Demand],
+    slots: typing.Sequence[fitting.Slot],
+    running: typing.Sequence[victims.RunningTask],
+) -> Plan:
+    """Return what to start and what to stop.
+
+    :param waiting: tasks whose turn has come.
+    :param slots: trusted workers; changed by this function.
+    :param running: runs that may be stopped.
+    """
+    state = _Round(slots, running)
+    for demand in demands.order(waiting):
+        state.serve(demand)
+    return Plan(tuple(state.starts), tuple(state.stops), state.holds)
+
+
+__all__ = ('Plan', 'Start', 'plan')
