policy: a run at 100 percent holds its room until its end is listed

A run's remaining time was 0 at 100 percent, and the placement counted releases due by now as free room. Ruled out: runs missing from the worker's table (the log lists them). Change: free_at(0) is the present room; a run's remaining time has a minimum.

--- a/src/nutmegworks/daemon/fleet.py
+++ b/src/nutmegworks/daemon/fleet.py
@@ -10,6 +10,8 @@
 from nutmegworks.daemon import slim
 
 EXIT_BAD_SETTINGS: typing.Final = 2
+# Per kind of decision; a wide job starts and ends in a hundred lines.
+DECISION_LINES_PER_SECOND: typing.Final = 100
 
 
 def main() -> int:
@@ -21,7 +23,11 @@
     logbook = importlib.import_module('logbook')
     logs = importlib.import_module('nutmegworks.telemetry.logs')
     logging.getLogger('curio').setLevel(logging.ERROR)
-    logs.JsonHandler(sys.stdout, level='info').push_application()
+    logs.JsonHandler(
+        sys.stdout,
+        level='info',
+        lines_per_second=DECISION_LINES_PER_SECOND,
+    ).push_application()
     log = logbook.Logger('node')
     try:
         settings = node.read_settings()
--- a/src/nutmegworks/fleet/table.py
+++ b/src/nutmegworks/fleet/table.py
@@ -9,6 +9,9 @@
 from nutmegworks.tasks import spec
 from nutmegworks.tasks import workers
 
+# A run holds its room until its end is listed, also at 100 percent.
+SHORTEST_REMAINING_SECONDS = 0.1
+
 
 class RunPhase(enum.Enum):
     # The order is being written or sent; the run may or may not be there.
@@ -65,11 +68,12 @@
         elapsed = now - self.first_percent_at
         gained = self.percent - (self.first_percent or 0)
         if self.first_percent is not None and gained >= 5:
-            return elapsed / gained * (100 - self.percent)
+            left = elapsed / gained * (100 - self.percent)
+            return max(SHORTEST_REMAINING_SECONDS, left)
         left = self.step.estimate * (100 - self.percent) / 100
         if self.first_percent is None:
             left -= now - self.ordered_at
-        return max(0.1, left)
+        return max(SHORTEST_REMAINING_SECONDS, left)
 
 
 class Job:
--- a/src/nutmegworks/policy/fitting.py
+++ b/src/nutmegworks/policy/fitting.py
@@ -53,8 +53,13 @@
         )
 
     def free_at(self, after: float) -> spec.Room:
-        """Return the free room after some seconds."""
+        """Return the free room after some seconds, 0 for the present.
+
+        A run that is about to end still holds its room at present.
+        """
         free = self.free
+        if after <= 0:
+            return free
         for release in self.releases:
             if release.after <= after:
                 free = free.plus(release.room)
--- a/src/nutmegworks/telemetry/logs.py
+++ b/src/nutmegworks/telemetry/logs.py
@@ -12,7 +12,7 @@
 # A failure that repeats for each request must not fill the log.
 LINES_PER_SECOND_PER_EVENT: typing.Final = 5
 
-_BURST: typing.Final = 10
+_BURST_SECONDS: typing.Final = 2
 
 
 class JsonHandler(logbook.StreamHandler):
@@ -26,10 +26,13 @@
         stream: typing.TextIO | None = None,
         *,
         level: str = 'info',
+        lines_per_second: int = LINES_PER_SECOND_PER_EVENT,
         clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
         super().__init__(stream or sys.stderr, level=level.upper())
         self._clock = clock
+        self._rate = lines_per_second
+        self._burst = _BURST_SECONDS * lines_per_second
         self._allowance_by_event: dict[str, tuple[float, float]] = {}
         self._dropped_by_event: collections.Counter[str] = (
             collections.Counter()
@@ -61,9 +64,10 @@
 
     def _allowed(self, event: str) -> bool:
         now = self._clock()
-        allowance, since = self._allowance_by_event.get(event, (_BURST, now))
-        rate = LINES_PER_SECOND_PER_EVENT
-        allowance = min(_BURST, allowance + (now - since) * rate)
+        allowance, since = self._allowance_by_event.get(
+            event, (self._burst, now)
+        )
+        allowance = min(self._burst, allowance + (now - since) * self._rate)
         if allowance < 1.0:
             self._allowance_by_event[event] = (allowance, now)
             return False
