fleet: short watches that never skip a change they did not hear

Ruled out: 410 not handled (the log shows the new listing right after it). Change: watches wait 1 s, and a revision is taken only from an answer with changes; routes of a store call are a list, because curio refuses to finalize an async generator.

--- a/src/nutmegworks/fleet/follow.py
+++ b/src/nutmegworks/fleet/follow.py
@@ -13,8 +13,10 @@
 
 _LOG: typing.Final = logbook.Logger('follow')
 
-# Each answer costs a call; a waiting watch costs one in total.
-WATCH_SECONDS: typing.Final = 10.0
+# While the store drops its history, a waiting watch hears nothing; the next
+# one learns that the history is lost. Configurations must be in force after
+# 2 s. Each watch costs one call.
+WATCH_SECONDS: typing.Final = 1.0
 RETRY_SECONDS: typing.Final = 0.3
 # A watch may hear nothing while the store drops its history.
 RELIST_SECONDS: typing.Final = 15.0
@@ -101,8 +103,10 @@
             )
             return False
         changes = watched.ok_value
-        self._revision = max(self._revision, changes.revision)
         if changes.items or changes.removed:
+            # Not after an empty answer: a watch that heard nothing may have
+            # missed changes before that revision.
+            self._revision = max(self._revision, changes.revision)
             await self._sink.change(changes)
             await curio.sleep(self._pause)
         return True
--- a/src/nutmegworks/fleet/transport.py
+++ b/src/nutmegworks/fleet/transport.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import time
 import typing
 
@@ -50,6 +51,12 @@
     reached: bool
 
 
+Route = typing.Callable[
+    [message.Request, float],
+    typing.Awaitable[message.Response | Failure],
+]
+
+
 class Transport:
     """Carries calls to the store over the best route."""
 
@@ -99,7 +106,8 @@
             method, target, {'content-type': 'application/json'}, body
         )
         failures = []
-        async for outcome in self._routes(request, timeout):
+        for route in self._routes():
+            outcome = await route(request, timeout)
             if isinstance(outcome, message.Response):
                 self._last_answer = self._clock()
                 self._isolated_since = None
@@ -110,18 +118,15 @@
                 break
         return result.Err(self._summarize(failures))
 
-    async def _routes(
-        self,
-        request: message.Request,
-        timeout: float,
-    ) -> typing.AsyncIterator[message.Response | Failure]:
-        direct_first = self._clock() >= self._direct_again
-        if direct_first:
-            yield await self._direct(request, timeout)
-        for address in list(self._peers())[:MAX_RELAYS]:
-            yield await self._relay(address, request, timeout)
-        if not direct_first:
-            yield await self._direct(request, timeout)
+    def _routes(self) -> list[Route]:
+        """Return the routes to try, the best one first."""
+        relays = [
+            functools.partial(self._relay, address)
+            for address in list(self._peers())[:MAX_RELAYS]
+        ]
+        if self._clock() >= self._direct_again:
+            return [self._direct, *relays]
+        return [*relays, self._direct]
 
     def _summarize(
         self,
--- /dev/null
+++ b/tests/fleet/memory.py
@@ -0,0 +1,322 @@
+"""A store and workers in memory, with the faults that tests ask for."""
+from __future__ import annotations
+
+import time
+import typing
+
+import curio
+import result
+
+from nutmegworks.fleet import interfaces
+from nutmegworks.model import ids
+from nutmegworks.tasks import spec
+from nutmegworks.tasks import workers
+
+POLL_SECONDS: typing.Final = 0.005
+
+_DOWN: typing.Final = result.Err(
+    interfaces.StoreError(interfaces.Effect.NONE, 'down')
+)
+
+
+class MemoryStore(interfaces.Store):
+    """Keeps items and their history.
+
+    :ivar deaf: watches hear nothing but advance their revision.
+    :ivar down: all calls fail and do nothing.
+    :ivar lose_answers: this many commits take effect without an answer.
+    :ivar hold_commits: commits fail now and are kept for ``land_late``.
+    """
+
+    def __init__(self) -> None:
+        self.item_by_key: dict[str, interfaces.Item] = {}
+        self.revision = 10
+        self.deaf = False
+        self.down = False
+        self.lose_answers = 0
+        self.hold_commits = False
+        self.commits: list[interfaces.Transaction] = []
+        self._held: list[interfaces.Transaction] = []
+        self._history: list[tuple[int, interfaces.Item | str]] = []
+        self._oldest = 0
+        self._leases: set[int] = set()
+
+    def put(
+        self,
+        key: str,
+        value: bytes,
+        lease_id: interfaces.LeaseId = interfaces.NO_LEASE,
+    ) -> None:
+        self.revision += 1
+        item = interfaces.Item(
+            key, value, ids.StoreRevision(self.revision), lease_id
+        )
+        self.item_by_key[key] = item
+        self._history.append((self.revision, item))
+
+    def remove(self, key: str) -> None:
+        if key in self.item_by_key:
+            self.revision += 1
+            del self.item_by_key[key]
+            self._history.append((self.revision, key))
+
+    def drop_history(self) -> None:
+        self._oldest = self.revision
+        self._history.clear()
+
+    async def get(
+        self,
+        key: str,
+    ) -> result.Result[interfaces.Item | None, interfaces.StoreError]:
+        if self.down:
+            return _DOWN
+        return result.Ok(self.item_by_key.get(key))
+
+    async def list(
+        self,
+        prefix: str,
+    ) -> result.Result[interfaces.Changes, interfaces.StoreError]:
+        if self.down:
+            return _DOWN
+        found = tuple(
+            item for key, item in self.item_by_key.items()
+            if key.startswith(prefix)
+        )
+        return result.Ok(interfaces.Changes(found, (), self._now()))
+
+    def _now(self) -> ids.StoreRevision:
+        return ids.StoreRevision(self.revision)
+
+    async def watch(
+        self,
+        prefix: str,
+        after: ids.StoreRevision,
+        wait: float,
+    ) -> result.Result[interfaces.Changes, interfaces.StoreError]:
+        until = time.monotonic() + wait
+        while True:
+            if self.down:
+                return _DOWN
+            if after < self._oldest:
+                raise interfaces.HistoryLostError(prefix)
+            found = [] if self.deaf else [
+                entry for revision, entry in self._history
+                if revision > after and _key(entry).startswith(prefix)
+            ]
+            if found or time.monotonic() > until:
+                break
+            await curio.sleep(POLL_SECONDS)
+        return result.Ok(
+            interfaces.Changes(
+                tuple(e for e in found if isinstance(e, interfaces.Item)),
+                tuple((e, self._now()) for e in found if isinstance(e, str)),
+                self._now(),
+            )
+        )
+
+    async def commit(
+        self,
+        transaction: interfaces.Transaction,
+        *,
+        timeout: float | None = None,
+    ) -> result.Result[interfaces.Commit, interfaces.StoreError]:
+        if self.down:
+            return _DOWN
+        if self.hold_commits:
+            self._held.append(transaction)
+            return _lost()
+        commit = self._apply(transaction)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            return _lost()
+        return result.Ok(commit)
+
+    def land_late(self) -> list[interfaces.Commit]:
+        """Carry out the commits that were held."""
+        held, self._held = self._held, []
+        return [self._apply(transaction) for transaction in held]
+
+    def _apply(
+        self,
+        transaction: interfaces.Transaction,
+    ) -> interfaces.Commit:
+        for key, revision in transaction.expected.items():
+            item = self.item_by_key.get(key)
+            present = interfaces.ABSENT if item is None else item.revision
+            if present != revision:
+                return interfaces.Commit(
+                    interfaces.CommitOutcome.CONFLICT,
+                    current_by_key={
+                        key: self.item_by_key[key]
+                        for key in transaction.expected
+                        if key in self.item_by_key
+                    },
+                )
+        for write in transaction.writes:
+            if write.lease_id and write.lease_id not in self._leases:
+                return interfaces.Commit(interfaces.CommitOutcome.NO_LEASE)
+        # One revision for all keys of a transaction.
+        self.commits.append(transaction)
+        base = self.revision
+        for write in transaction.writes:
+            self.revision = base
+            self.put(write.key, write.value, write.lease_id)
+        for key in transaction.removed:
+            self.remove(key)
+        return interfaces.Commit(
+            interfaces.CommitOutcome.COMMITTED, self._now()
+        )
+
+    async def grant_lease(
+        self,
+        seconds: float,
+    ) -> result.Result[interfaces.LeaseId, interfaces.StoreError]:
+        if self.down:
+            return _DOWN
+        lease_id = interfaces.LeaseId(len(self._leases) + 1)
+        self._leases.add(lease_id)
+        return result.Ok(lease_id)
+
+    async def renew_lease(
+        self,
+        lease_id: interfaces.LeaseId,
+    ) -> result.Result[bool, interfaces.StoreError]:
+        if self.down:
+            return _DOWN
+        return result.Ok(lease_id in self._leases)
+
+    async def end_lease(
+        self,
+        lease_id: interfaces.LeaseId,
+    ) -> result.Result[bool, interfaces.StoreError]:
+        self.expire(lease_id)
+        return result.Ok(True)
+
+    def expire(self, lease_id: interfaces.LeaseId) -> None:
+        """End a lease and remove its keys."""
+        self._leases.discard(lease_id)
+        for key, item in list(self.item_by_key.items()):
+            if item.lease_id == lease_id:
+                self.remove(key)
+
+
+def _key(entry: interfaces.Item | str) -> str:
+    return entry if isinstance(entry, str) else entry.key
+
+
+def _lost() -> result.Err[interfaces.StoreError]:
+    return result.Err(
+        interfaces.StoreError(interfaces.Effect.UNKNOWN, 'no answer')
+    )
+
+
+class MemoryWorkers(interfaces.WorkerClient):
+    """Workers that hold what they are told to start.
+
+    :ivar silent: workers that answer nothing and do nothing.
+    :ivar lose_starts: this many starts take effect without an answer.
+    """
+
+    def __init__(self) -> None:
+        self.silent: set[ids.WorkerId] = set()
+        self.lose_starts = 0
+        self.token_by_id: dict[ids.WorkerId, int] = {}
+        self.running_by_id: dict[
+            ids.WorkerId,
+            dict[tuple[spec.TaskKey, workers.RunNumber], str],
+        ] = {}
+        self.ended_by_id: dict[ids.WorkerId, list[workers.RunEnd]] = {}
+        self.number_by_id: dict[ids.WorkerId, int] = {}
+        self.starts: list[tuple[ids.WorkerId, workers.StartOrder]] = []
+
+    def _accepts(self, worker_id: ids.WorkerId, token: int) -> bool:
+        if token < self.token_by_id.get(worker_id, 0):
+            return False
+        self.token_by_id[worker_id] = token
+        return True
+
+    async def start(
+        self,
+        worker: workers.WorkerEntry,
+        order: workers.StartOrder,
+        *,
+        fresh: bool = False,
+    ) -> workers.StartVerdict:
+        worker_id = worker.worker_id
+        if worker_id in self.silent:
+            return workers.StartVerdict.UNKNOWN
+        if not self._accepts(worker_id, order.token):
+            return workers.StartVerdict.FENCED
+        self.starts.append((worker_id, order))
+        running = self.running_by_id.setdefault(worker_id, {})
+        running[(order.task, order.run)] = order.checkpoint
+        if self.lose_starts:
+            self.lose_starts -= 1
+            return workers.StartVerdict.UNKNOWN
+        return workers.StartVerdict.STARTED
+
+    async def stop(
+        self,
+        worker: workers.WorkerEntry,
+        task: spec.TaskKey,
+        run: workers.RunNumber,
+        token: ids.FencingToken,
+        *,
+        fresh: bool = False,
+    ) -> result.Result[bool, interfaces.CallError]:
+        worker_id = worker.worker_id
+        if worker_id in self.silent:
+            return result.Err(interfaces.CallError('silent'))
+        if not self._accepts(worker_id, token):
+            return result.Ok(False)
+        self.end(worker_id, task, run, workers.EndKind.STOPPED)
+        return result.Ok(True)
+
+    def end(
+        self,
+        worker_id: ids.WorkerId,
+        task: spec.TaskKey,
+        run: workers.RunNumber,
+        kind: workers.EndKind,
+    ) -> None:
+        """End a run, if the worker holds it."""
+        held = self.running_by_id.get(worker_id, {}).pop((task, run), None)
+        if held is None:
+            return
+        number = self.number_by_id.get(worker_id, 0) + 1
+        self.number_by_id[worker_id] = number
+        self.ended_by_id.setdefault(worker_id, []).append(
+            workers.RunEnd(number, task, run, kind, '')
+        )
+
+    async def renew(
+        self,
+        worker: workers.WorkerEntry,
+        token: ids.FencingToken,
+        acknowledged: int,
+        *,
+        lease_until: int | None,
+        wait: float,
+    ) -> result.Result[workers.Report | None, interfaces.CallError]:
+        worker_id = worker.worker_id
+        await curio.sleep(min(wait, 0.03))
+        if worker_id in self.silent:
+            return result.Err(interfaces.CallError('silent'))
+        if not self._accepts(worker_id, token):
+            return result.Ok(None)
+        ended = [
+            end for end in self.ended_by_id.get(worker_id, [])
+            if end.number > acknowledged
+        ]
+        self.ended_by_id[worker_id] = ended
+        return result.Ok(
+            workers.Report(
+                clock=int(time.monotonic() * 1000),
+                born=worker.born,
+                running=tuple(
+                    workers.RunStatus(task, run, '', 10)
+                    for task, run in self.running_by_id.get(worker_id, {})
+                ),
+                ended=tuple(ended),
+            )
+        )
