--- a/tests/fleet/test_follow.py
+++ b/tests/fleet/test_follow.py
@@ -7,8 +7,8 @@
 
 from nutmegworks.fleet import follow
 from nutmegworks.fleet import interfaces
-from tests import helpers
 from tests.fleet import memory
+from tests import helpers
 
 
 class Recorder(follow.Sink):
