transport: one relay a call; refuse at once while the store is known to be down

Ruled out: the relay itself (hosts that the store turns away are served). Change: silence of 1.2 s means that the store is down, a submission is then refused with 503 and has not been sent; watches use one route, other calls one relay; a failed direct route is tried by one call at a time.

--- a/src/nutmegworks/fleet/inquiry.py
+++ b/src/nutmegworks/fleet/inquiry.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import abc
+import time
 import typing
 import urllib.parse
 
@@ -20,6 +21,9 @@
 
 # The leader answers from memory; beyond this time the store is asked.
 ASK_SECONDS: typing.Final = 0.4
+# A leader that gave no answer is not asked again for this time: each call
+# would wait in vain.
+UNREACHABLE_SECONDS: typing.Final = 1.0
 
 STATE_PATH: typing.Final = '/state'
 PENDING_PATH: typing.Final = '/pending'
@@ -72,10 +76,15 @@
         member: membership.Membership,
         candidate: leaders.Candidate,
         connections: pool.Pool,
+        *,
+        clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
         self._member = member
         self._candidate = candidate
         self._pool = connections
+        self._clock = clock
+        self._ask_again = 0.0
+        self._unreachable: membership.Leadership | None = None
 
     async def state(
         self,
@@ -109,6 +118,8 @@
         leader = self._member.leader
         if leader is None or leader.record.member == self._member.member_id:
             return result.Err(NoLeaderError('no leader is known'))
+        if leader == self._unreachable and self._clock() < self._ask_again:
+            return result.Err(NoLeaderError('the leader did not answer'))
         query = urllib.parse.urlencode(fields)
         answer = await self._pool.exchange(
             (leader.record.host, leader.record.port),
@@ -116,6 +127,8 @@
             timeout=ASK_SECONDS,
         )
         if answer.is_err():
+            self._unreachable = leader
+            self._ask_again = self._clock() + UNREACHABLE_SECONDS
             return result.Err(NoLeaderError(answer.err_value.detail))
         response = answer.ok_value
         if response.status != 200:
--- a/src/nutmegworks/fleet/interfaces.py
+++ b/src/nutmegworks/fleet/interfaces.py
@@ -108,6 +108,10 @@
 class Store(abc.ABC):
     """The platform's key-value store; all times are in seconds."""
 
+    @abc.abstractmethod
+    def is_down(self) -> bool:
+        """Return whether a call now is known to be in vain."""
+
     @abc.abstractmethod
     async def get(
         self,
--- a/src/nutmegworks/fleet/transport.py
+++ b/src/nutmegworks/fleet/transport.py
@@ -21,11 +21,14 @@
 _LOG: typing.Final = logbook.Logger('transport')
 
 # The store answers in about 4 ms, 60 times that on a slow day.
-CALL_SECONDS: typing.Final = 1.0
-# How long the direct route is left alone after a failure.
-RETRY_DIRECT_SECONDS: typing.Final = 1.0
-# Peers asked for one call; more would outlast the caller's patience.
-MAX_RELAYS: typing.Final = 2
+CALL_SECONDS: typing.Final = 0.8
+# How long the direct route is left alone after a failure; doubled with each
+# further one up to the maximum, since each try costs a call its time.
+FIRST_PAUSE_SECONDS: typing.Final = 0.5
+LONGEST_PAUSE_SECONDS: typing.Final = 2.0
+# A lease is renewed every 0.5 s, so an available store is never silent for
+# longer than this, slow days included.
+SILENT_SECONDS: typing.Final = 1.2
 
 RELAY_PATH: typing.Final = '/relay'
 TARGET_HEADER: typing.Final = 'nutmeg-relay-target'
@@ -73,6 +76,7 @@
         self._peers = peers
         self._clock = clock
         self._direct_again = 0.0
+        self._pause = FIRST_PAUSE_SECONDS
         self._direct_is_up = True
         self._last_answer = clock()
         self._isolated_since: float | None = None
@@ -82,6 +86,10 @@
         """Return seconds since any route to the store answered."""
         return self._clock() - self._last_answer
 
+    def is_down(self) -> bool:
+        """Return whether a call now is known to be in vain."""
+        return self.silence() > SILENT_SECONDS
+
     def isolated_for(self) -> float:
         """Return seconds for which neither store nor peer answered."""
         since = self._isolated_since
@@ -95,18 +103,21 @@
         *,
         timeout: float = CALL_SECONDS,
         repeatable: bool = True,
+        relayed: bool = True,
     ) -> Outcome:
         """Send one call.
 
         :param timeout: seconds for each route.
         :param repeatable: the call may be carried out twice; otherwise the
             next route is used only after one that did nothing.
+        :param relayed: use a peer after the direct route has failed.
         """
         request = message.Request(
             method, target, {'content-type': 'application/json'}, body
         )
         failures = []
-        for route in self._routes():
+        routes = self._routes()
+        for route in routes if relayed else routes[:1]:
             outcome = await route(request, timeout)
             if isinstance(outcome, message.Response):
                 self._last_answer = self._clock()
@@ -120,13 +131,20 @@
 
     def _routes(self) -> list[Route]:
         """Return the routes to try, the best one first."""
+        peers = list(self._peers())
+        now = self._clock()
         relays = [
-            functools.partial(self._relay, address)
-            for address in list(self._peers())[:MAX_RELAYS]
+            functools.partial(self._relay, address) for address in peers[:1]
         ]
-        if self._clock() >= self._direct_again:
+        if self._direct_is_up:
+            return [self._direct, *relays]
+        if now >= self._direct_again or not relays:
+            # One call tries the route; the others need not wait for it.
+            self._direct_again = now + self._pause
             return [self._direct, *relays]
-        return [*relays, self._direct]
+        return [
+            functools.partial(self._relay, address) for address in peers[:2]
+        ]
 
     def _summarize(
         self,
@@ -182,8 +200,11 @@
         return response
 
     def _note_direct(self, up: bool, detail: str) -> None:
-        if not up:
-            self._direct_again = self._clock() + RETRY_DIRECT_SECONDS
+        if up:
+            self._pause = FIRST_PAUSE_SECONDS
+        else:
+            self._direct_again = self._clock() + self._pause
+            self._pause = min(LONGEST_PAUSE_SECONDS, 2 * self._pause)
         if up != self._direct_is_up:
             self._direct_is_up = up
             event = 'store reached again' if up else 'store does not answer'
--- a/src/nutmegworks/ingress/jobs.py
+++ b/src/nutmegworks/ingress/jobs.py
@@ -19,11 +19,12 @@
 
 # A write without an answer is repeated until this time has passed, in seconds;
 # later the client is told that the outcome is unknown.
-WRITE_SECONDS: typing.Final = 2.2
+WRITE_SECONDS: typing.Final = 1.5
 # Kept back from the client's deadline, for the response to arrive.
 RESPONSE_SECONDS: typing.Final = 0.2
-# One try. The store answers within 0.25 s on slow days.
-TRY_SECONDS: typing.Final = 0.8
+# One try. The store answers within 0.25 s on slow days; a lost answer is made
+# up for by the next try.
+TRY_SECONDS: typing.Final = 0.45
 # Final states that are remembered for clients that ask again.
 REMEMBERED_JOBS: typing.Final = 2000
 
@@ -106,6 +107,12 @@
         value: bytes,
     ) -> result.Result[None, interfaces.StoreError]:
         """Create a key unless it exists."""
+        if self._store.is_down():
+            return result.Err(
+                interfaces.StoreError(
+                    interfaces.Effect.NONE, 'the store does not answer'
+                )
+            )
         budget = min(WRITE_SECONDS, call.deadline - RESPONSE_SECONDS)
         until = call.received_at + budget
         transaction = interfaces.Transaction(
--- a/src/nutmegworks/platform/metastore.py
+++ b/src/nutmegworks/platform/metastore.py
@@ -14,7 +14,7 @@
 from nutmegworks.net import message
 
 # Beyond the wait of a watch, for the answer to arrive.
-WATCH_MARGIN_SECONDS: typing.Final = 1.5
+WATCH_MARGIN_SECONDS: typing.Final = 0.6
 
 
 class _Item(msgspec.Struct):
@@ -84,6 +84,9 @@
     def __init__(self, route: transport.Transport) -> None:
         self._route = route
 
+    def is_down(self) -> bool:
+        return self._route.is_down()
+
     async def get(
         self,
         key: str,
@@ -143,6 +146,8 @@
             'GET',
             f'/kv-watch?{query}',
             timeout=wait + WATCH_MARGIN_SECONDS,
+            # After a failure the prefix is listed, over any route.
+            relayed=False,
         )
         if answer.is_err():
             return answer
--- a/tests/fleet/memory.py
+++ b/tests/fleet/memory.py
@@ -41,6 +41,9 @@
         self._oldest = 0
         self._leases: set[int] = set()
 
+    def is_down(self) -> bool:
+        return self.down
+
     def put(
         self,
         key: str,
