policy: urgent work waits for room that comes free in time; lowest class yields first

Ruled out: refusing eviction beyond the guarantee (urgent jobs earn most for each core-second). Change: an urgent job waits for half of the time it has to spare, at most 1.6 s, before others yield; the loss of a victim is weighted by its class.

--- a/src/nutmegworks/policy/planning.py
+++ b/src/nutmegworks/policy/planning.py
@@ -16,6 +16,11 @@
 # Declared durations are often too short; work that is to end before a promised
 # time must fit in with this factor.
 BACKFILL_MARGIN: typing.Final = 1.3
+# Declared durations are wrong by up to half, so only this share of the time
+# that a job seems to have left is waited for room before lower classes yield.
+PATIENCE_SHARE: typing.Final = 0.5
+# Guaranteed shapes start within 2.7 s; a stop and a start take part of it.
+RECLAIM_SECONDS: typing.Final = 1.6
 # Seconds that a victim may take to stop.
 STOPPING_SECONDS: typing.Final = 0.5
 
@@ -62,7 +67,7 @@
         if not demand.indexes:
             return
         if demand.priority == 0:
-            if self._wait_for_stops(demand) or self._evict(demand):
+            if self._wait_for_room(demand) or self._evict(demand):
                 return
         if demand.step.gang and self.holds < MAX_HOLDS:
             self._hold(demand)
@@ -89,14 +94,13 @@
     def _unpromised(self) -> list[fitting.Slot]:
         return [slot for slot in self._slots if slot.held_from > 0]
 
-    def _wait_for_stops(self, demand: demands.Demand) -> bool:
-        """Return whether runs that are being stopped make enough room."""
-        soon = fitting.place(
-            demand, self._unpromised(), far=False, after=STOPPING_SECONDS
-        )
-        if len(soon) < len(demand.indexes):
+    def _wait_for_room(self, demand: demands.Demand) -> bool:
+        """Return whether enough room comes free in time by itself."""
+        when, placement = fitting.earliest(demand, self._unpromised())
+        patience = max(STOPPING_SECONDS, _patience(demand))
+        if when > patience:
             return False
-        self._promise(soon, demand)
+        self._promise(placement, demand)
         return True
 
     def _evict(self, demand: demands.Demand) -> bool:
@@ -134,6 +138,13 @@
             slot.free = slot.free.minus(demand.step.room)
 
 
+def _patience(demand: demands.Demand) -> float:
+    """Return for how many seconds a demand may wait before others yield."""
+    spare = demand.objective - demand.remaining - demand.waited
+    left = RECLAIM_SECONDS - demand.waited
+    return min(PATIENCE_SHARE * spare, left)
+
+
 def plan(
     waiting: typing.Iterable[demands.Demand],
     slots: typing.Sequence[fitting.Slot],
--- a/src/nutmegworks/policy/victims.py
+++ b/src/nutmegworks/policy/victims.py
@@ -12,6 +12,11 @@
 # Share of the work that a run loses although it writes a checkpoint when it
 # is stopped: the restart takes time.
 CHECKPOINTED_LOSS_SHARE: typing.Final = 0.1
+# What a stop itself costs a run, in seconds of its work.
+STOP_SECONDS: typing.Final = 0.5
+# How much dearer work is than that of the next lower class, when it is late.
+CLASS_FACTOR: typing.Final = 2.0
+LOWEST_CLASS: typing.Final = 4
 # Cost of one accelerator in cores, in the account of lost work.
 CORES_PER_ACCELERATOR: typing.Final = 8.0
 MILLICORES: typing.Final = 1000.0
@@ -34,13 +39,18 @@
     checkpoints: bool
 
     def loss(self) -> float:
-        """Return the lost work in core-seconds."""
+        """Return the lost work in core-seconds, weighted by its class."""
         cores = (
             self.room.cpu / MILLICORES +
             CORES_PER_ACCELERATOR * self.room.accelerators
         )
         share = CHECKPOINTED_LOSS_SHARE if self.checkpoints else 1.0
-        return cores * (0.5 + self.elapsed * share)
+        return cores * (STOP_SECONDS +
+                        self.elapsed * share) * _weight(self.priority)
+
+
+def _weight(priority: int) -> float:
+    return CLASS_FACTOR**max(0, LOWEST_CLASS - priority)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/policy/test_planning.py
+++ b/tests/policy/test_planning.py
@@ -100,3 +100,50 @@
     plan = planning.plan([hopeless, fresh], slots, [])
 
     assert [start.demand.job_id for start in plan.starts] == ['fresh']
+
+
+def test_urgent_work_waits_a_moment_before_others_yield() -> None:
+    """Work that ends by itself in time would be thrown away."""
+    slots = [
+        builders.slot(
+            'w1', free=FULL, releases=[(0.6, builders.WHOLE_WORKER)]
+        ),
+    ]
+    running = [builders.running('b', 'w1', room=builders.WHOLE_WORKER)]
+    urgent = builders.demand(priority=0, objective=8.0, estimate=5.0)
+
+    plan = planning.plan([urgent], slots, running)
+
+    assert plan.stops == ()
+    assert plan.starts == ()
+
+
+def test_urgent_work_that_waited_long_makes_others_yield() -> None:
+    """A guaranteed shape must be reclaimed within its bound."""
+    slots = [
+        builders.slot(
+            'w1', free=FULL, releases=[(0.6, builders.WHOLE_WORKER)]
+        ),
+    ]
+    running = [builders.running('b', 'w1', room=builders.WHOLE_WORKER)]
+    urgent = builders.demand(
+        priority=0, objective=60.0, estimate=5.0, waited=1.5
+    )
+
+    plan = planning.plan([urgent], slots, running)
+
+    assert len(plan.stops) == 1
+
+
+def test_the_lowest_class_yields_first() -> None:
+    """A job of a middle class is worth more than one of the lowest."""
+    slots = [builders.slot('w1', free=FULL), builders.slot('w2', free=FULL)]
+    room = builders.WHOLE_WORKER
+    running = [
+        builders.running('middle', 'w1', priority=1, room=room, elapsed=1.0),
+        builders.running('low', 'w2', priority=2, room=room, elapsed=1.5),
+    ]
+
+    plan = planning.plan([builders.demand(priority=0)], slots, running)
+
+    assert [task.task.job_id for task, _ in plan.stops] == ['low']
