--- a/src/nutmegworks/fleet/membership.py
+++ b/src/nutmegworks/fleet/membership.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import random
+import secrets
 import time
 import typing
 
@@ -107,6 +108,9 @@
         self._lease_id: interfaces.LeaseId | None = None
         self._renewed_at = clock()
         self._standing_down = False
+        # Whether the leader key has been read at all.
+        self._informed = False
+        self._incarnation = secrets.token_hex(8)
         self.leader: Leadership | None = None
         self.changed = curio.Event()
 
@@ -119,7 +123,19 @@
         """Whether this daemon holds the leader key as far as it knows."""
         return (
             self.leader is not None and not self._standing_down
-            and self.leader.record.member == self._member_id
+            and self.leader.record.incarnation == self._incarnation
+        )
+
+    def leader_is_gone(self) -> bool:
+        """Return whether nobody leads.
+
+        A leader key of this host's previous process is known to be obsolete
+        before its lease ends.
+        """
+        leader = self.leader
+        return leader is None or (
+            leader.record.member == self._member_id
+            and leader.record.incarnation != self._incarnation
         )
 
     def may_order(self) -> bool:
@@ -135,6 +151,8 @@
         """Keep the lease and stand for leadership until cancelled."""
         while True:
             await self._renew()
+            if self._informed and self.leader_is_gone():
+                await self.stand()
             await curio.sleep(RENEW_SECONDS)
 
     async def _renew(self) -> None:
@@ -173,19 +191,24 @@
     async def stand(self) -> None:
         """Try to become the leader if nobody is."""
         await curio.sleep(random.uniform(0, CANDIDACY_JITTER_SECONDS))
-        free = self.leader is None and not self._standing_down
-        if not free or self._lease_id is None:
+        if not self.leader_is_gone() or self._standing_down:
+            return
+        if self._lease_id is None:
             return
         record = records.Leader(
-            self._member_id, self._member.host, self._member.port
+            self._member_id,
+            self._incarnation,
+            self._member.host,
+            self._member.port,
         )
+        present = interfaces.ABSENT
+        if self.leader is not None:
+            present = self.leader.revision
         write = interfaces.Write(
             records.LEADER_KEY, records.encode(record), self._lease_id
         )
         done = await self._store.commit(
-            interfaces.Transaction(
-                {records.LEADER_KEY: interfaces.ABSENT}, (write, )
-            )
+            interfaces.Transaction({records.LEADER_KEY: present}, (write, ))
         )
         if done.is_err():
             # The write may have taken effect: read the key.
@@ -210,9 +233,13 @@
 
     async def note_leader(self, leader: Leadership | None) -> None:
         """Take what the store says of the leader key."""
+        self._informed = True
         if leader == self.leader:
             return
-        own = leader is not None and leader.record.member == self._member_id
+        own = (
+            leader is not None
+            and leader.record.incarnation == self._incarnation
+        )
         _LOG.info(
             'leader changed',
             leader=leader.record.member if leader else None,
@@ -296,7 +323,7 @@
             await self._membership.note_leader(None)
 
     async def _stand_if_free(self) -> None:
-        if self._membership.leader is None:
+        if self._membership.leader_is_gone():
             await self._membership.stand()
 
 
--- a/src/nutmegworks/tasks/records.py
+++ b/src/nutmegworks/tasks/records.py
@@ -95,9 +95,13 @@
 
 
 class Leader(msgspec.Struct, frozen=True):
-    """The daemon that decides, under its lease."""
+    """The daemon that decides, under its lease.
+
+    :param incarnation: tells the processes of one host apart.
+    """
 
     member: str
+    incarnation: str
     host: str
     port: int
 
--- /dev/null
+++ b/tests/fleet/builders.py
@@ -0,0 +1,180 @@
+"""Builders of stored jobs, workers and terms of leadership."""
+from __future__ import annotations
+
+import contextlib
+import time
+import typing
+
+import curio
+import msgspec
+
+from nutmegworks.fleet import interfaces
+from nutmegworks.fleet import leader
+from nutmegworks.fleet import membership
+from nutmegworks.model import ids
+from nutmegworks.platform import wire
+from nutmegworks.tasks import records
+from nutmegworks.tasks import workers
+from tests.fleet import memory
+
+SERVICE = 'planner'
+
+
+def accepted(
+    *steps: dict[str, object],
+    priority: int = 1,
+    attempts: int = 2,
+    **body: object,
+) -> records.Accepted:
+    document = {'spec': 'text', 'steps': list(steps or [step()]), **body}
+    return records.Accepted(
+        queue='q1',
+        service=SERVICE,
+        team='north',
+        priority=priority,
+        attempts=attempts,
+        stretch=3.0,
+        target=1.0,
+        accepted_at=time.time(),
+        body=msgspec.json.encode(document),
+    )
+
+
+def step(count: int = 1, **fields: object) -> dict[str, object]:
+    """Return a step in the platform's form."""
+    return {
+        'count': count,
+        'cpu': 1000,
+        'memMb': 100,
+        'gpu': 1,
+        'estimatedMs': 5000,
+        **fields
+    }
+
+
+def worker_document(
+    *,
+    state: str = 'ready',
+    born: int = 1,
+    **fields: object,
+) -> dict[str, object]:
+    return {
+        'service': SERVICE,
+        'address': '10.0.0.1:80',
+        'zone': 'north',
+        'version': 'v1',
+        'slots': 8,
+        'state': state,
+        'coldRemainingMs': 0,
+        'capacity': {
+            'cpu': 128000,
+            'memMb': 512000,
+            'gpu': 8
+        },
+        'labels': ['a', 'r1-1'],
+        'born': born,
+        'sequence': 1,
+        **fields,
+    }
+
+
+def put_job(
+    store: memory.MemoryStore,
+    job_id: str,
+    record: records.Accepted,
+) -> None:
+    store.put(records.job_key(ids.JobId(job_id)), records.encode(record))
+
+
+def put_worker(
+    store: memory.MemoryStore,
+    worker_id: str,
+    **fields: typing.Any,
+) -> None:
+    document = worker_document(**fields)
+    store.put(f'servers/{worker_id}', msgspec.json.encode(document))
+
+
+def progress(
+    store: memory.MemoryStore,
+    job_id: str,
+) -> records.Progress | None:
+    item = store.item_by_key.get(records.progress_key(ids.JobId(job_id)))
+    if item is None:
+        return None
+    return msgspec.json.decode(item.value, type=records.Progress)
+
+
+def member(
+    store: interfaces.Store,
+    name: str = 'host-1',
+) -> membership.Membership:
+    return membership.Membership(
+        store,
+        ids.MemberId(name),
+        records.Member('10.0.0.9', 7000, 'north'),
+        min_lease=1.0,
+    )
+
+
+async def elect(
+    store: interfaces.Store,
+    name: str = 'host-1',
+) -> membership.Membership:
+    """Return a member that leads."""
+    elected = member(store, name)
+    await elected._renew()
+    await elected.read_leader()
+    await elected.stand()
+    assert elected.leads
+    return elected
+
+
+@contextlib.asynccontextmanager
+async def leading(
+    store: memory.MemoryStore,
+    fleet: memory.MemoryWorkers,
+    name: str = 'host-1',
+) -> typing.AsyncIterator[leader.Term]:
+    """Run a term of leadership."""
+    elected = await elect(store, name)
+    assert elected.leader is not None
+    term = leader.Term(
+        store,
+        fleet,
+        wire.PlatformDecoder(),
+        elected,
+        elected.leader,
+        keep_seconds=120.0,
+    )
+    keeper = await curio.spawn(elected.run, daemon=True)
+    task = await curio.spawn(term.run, daemon=True)
+    try:
+        yield term
+    finally:
+        await task.cancel()
+        await keeper.cancel()
+
+
+async def until(
+    condition: typing.Callable[[], object],
+    seconds: float = 3.0,
+) -> None:
+    """Wait for a condition; fail if it does not come true."""
+    end = time.monotonic() + seconds
+    while not condition():
+        assert time.monotonic() < end, 'the condition did not come true'
+        await curio.sleep(0.005)
+
+
+def end_all(
+    fleet: memory.MemoryWorkers,
+    kind: workers.EndKind,
+) -> int:
+    """End every run; return how many there were."""
+    count = 0
+    for worker_id, running in list(fleet.running_by_id.items()):
+        for task, run in list(running):
+            fleet.end(worker_id, task, run, kind)
+            count += 1
+    return count
