--- a/src/nutmegworks/daemon/fleetnode.py
+++ b/src/nutmegworks/daemon/fleetnode.py
@@ -32,6 +32,7 @@
 from nutmegworks.platform import settings as platform_settings
 from nutmegworks.platform import wire
 from nutmegworks.tasks import records
+from nutmegworks.telemetry import fleetmetrics
 
 _LOG: typing.Final = logbook.Logger('node')
 
@@ -47,6 +48,7 @@
 EXIT_MARGIN_SECONDS: typing.Final = 0.8
 # A call without a deadline may take this long, in seconds.
 DEFAULT_DEADLINE_SECONDS: typing.Final = 3.0
+METRICS_PATH: typing.Final = '/metrics'
 CONFIGURATION_PREFIX: typing.Final = 'op/'
 # Changes of the configuration and of the leader are rare; each watch costs a
 # call when it returns.
@@ -66,8 +68,12 @@
         self._members = membership.MemberSink(
             settings.member_id, settings.domain_id
         )
+        self._metrics = fleetmetrics.FleetMetrics()
         self._route = transport.Transport(
-            settings.store, self._pool, self._members.peer_addresses
+            settings.store,
+            self._pool,
+            self._members.peer_addresses,
+            self._metrics,
         )
         self._store = metastore.MetadataStore(self._route)
         self._decoder = wire.PlatformDecoder()
@@ -95,6 +101,7 @@
             self._decoder,
             self._member,
             leadership,
+            self._metrics,
             keep_seconds=self._settings.bounds.status,
         )
 
@@ -102,7 +109,7 @@
         endpoint = jobs.JobCalls(self._store, self._decoder, self._inquiry)
         return calls.chain(
             (
-                filters.LogFilter(),
+                filters.LogFilter(self._metrics),
                 filters.RouteFilter(self._current),
                 filters.KeyFilter(self._current),
             ),
@@ -138,6 +145,8 @@
         fields = dict(urllib.parse.parse_qsl(query))
         if path == transport.RELAY_PATH:
             return await self._relay(request)
+        if path == METRICS_PATH:
+            return self._render_metrics()
         term = inquiry.local_term(self._candidate)
         if term is None or not self._member.may_order():
             return message.Response(503)
@@ -149,6 +158,25 @@
             return _answer(inquiry.PendingAnswer(pending))
         return message.Response(404)
 
+    def _render_metrics(self) -> message.Response:
+        metrics = self._metrics
+        term = inquiry.local_term(self._candidate)
+        metrics.leading.set({}, int(term is not None))
+        metrics.renewal_age.set({}, self._member.renewal_age())
+        if self._current.value is not None:
+            metrics.config_version.set({}, self._current.value.version)
+        if term is not None:
+            state = term.state
+            now = membership.steady_clock()
+            jobs_left = sum(not job.final for job in state.jobs_by_id.values())
+            metrics.jobs.set({}, jobs_left)
+            workers_left = sum(
+                worker.available(now)
+                for worker in state.workers_by_id.values()
+            )
+            metrics.workers.set({}, workers_left)
+        return metrics.render()
+
     async def _relay(self, request: message.Request) -> message.Response:
         passed_on = message.Request(
             request.headers[transport.METHOD_HEADER],
--- a/src/nutmegworks/fleet/leader.py
+++ b/src/nutmegworks/fleet/leader.py
@@ -22,6 +22,7 @@
 from nutmegworks.fleet import worker as fleet_worker
 from nutmegworks.model import ids
 from nutmegworks.tasks import records
+from nutmegworks.telemetry import fleetmetrics
 
 _LOG: typing.Final = logbook.Logger('leader')
 
@@ -169,6 +170,7 @@
         decoder: interfaces.Decoder,
         member: membership.Membership,
         leadership: membership.Leadership,
+        metrics: fleetmetrics.FleetMetrics,
         *,
         keep_seconds: float,
     ) -> None:
@@ -180,7 +182,7 @@
         self._keep_seconds = keep_seconds
         self._over = curio.Event()
         self._sessions: dict[ids.WorkerId, curio.Task] = {}
-        self.state = fleet_state.FleetState()
+        self.state = fleet_state.FleetState(metrics)
         self.loaded = False
         self._journal = journals.Journal(store, leadership, self.state.encode)
         self._orders = fleet_orders.Orders(
--- a/src/nutmegworks/fleet/orders.py
+++ b/src/nutmegworks/fleet/orders.py
@@ -122,7 +122,9 @@
             self._token,
             job.progress.saved.get(job.unit(run.task), ''),
         )
-        return await self._client.start(worker.entry, order, fresh=fresh)
+        verdict = await self._client.start(worker.entry, order, fresh=fresh)
+        self._state.metrics.starts.inc({'verdict': verdict.value})
+        return verdict
 
     async def _settle(
         self,
--- a/src/nutmegworks/fleet/state.py
+++ b/src/nutmegworks/fleet/state.py
@@ -16,6 +16,7 @@
 from nutmegworks.tasks import records
 from nutmegworks.tasks import spec
 from nutmegworks.tasks import workers
+from nutmegworks.telemetry import fleetmetrics
 
 _LOG: typing.Final = logbook.Logger('state')
 
@@ -23,7 +24,8 @@
 class FleetState:
     """Jobs, workers and runs of one term of leadership."""
 
-    def __init__(self) -> None:
+    def __init__(self, metrics: fleetmetrics.FleetMetrics) -> None:
+        self.metrics = metrics
         self.jobs_by_id: dict[ids.JobId, table.Job] = {}
         self.workers_by_id: dict[ids.WorkerId, fleet_worker.Worker] = {}
         self.cancelled_ids: set[ids.JobId] = set()
@@ -107,6 +109,7 @@
             reason=reason,
             percent=run.percent,
         )
+        self.metrics.stops.inc({})
         self.stops.append(run)
 
     def stop_gang(self, run: table.Run, reason: str) -> None:
@@ -129,12 +132,16 @@
         job.progress.state = state
         job.progress.ended_at = time.time()
         self.changed_ids.add(job.job_id)
+        age = membership.steady_clock() - job.arrived_at
+        labels = {'queue': job.accepted.queue}
+        self.metrics.jobs_ended.inc({**labels, 'state': state.value})
+        self.metrics.job_seconds.observe(labels, age)
         _LOG.info(
             'job ended',
             job=job.job_id,
             queue=job.accepted.queue,
             state=state.value,
-            age=round(membership.steady_clock() - job.arrived_at, 3),
+            age=round(age, 3),
             objective=round(objective(job), 3),
             failures=sum(job.progress.failures.values()),
         )
--- a/src/nutmegworks/fleet/transport.py
+++ b/src/nutmegworks/fleet/transport.py
@@ -17,6 +17,7 @@
 from nutmegworks.net import client
 from nutmegworks.net import message
 from nutmegworks.net import pool
+from nutmegworks.telemetry import fleetmetrics
 
 _LOG: typing.Final = logbook.Logger('transport')
 
@@ -68,9 +69,11 @@
         address: client.Address,
         connections: pool.Pool,
         peers: typing.Callable[[], typing.Sequence[client.Address]],
+        metrics: fleetmetrics.FleetMetrics,
         *,
         clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
+        self._metrics = metrics
         self._address = address
         self._pool = connections
         self._peers = peers
@@ -80,7 +83,6 @@
         self._direct_is_up = True
         self._last_answer = clock()
         self._isolated_since: float | None = None
-        self.calls = 0
 
     def silence(self) -> float:
         """Return seconds since any route to the store answered."""
@@ -119,6 +121,7 @@
         routes = self._routes()
         for route in routes if relayed else routes[:1]:
             outcome = await route(request, timeout)
+            self._count(route, outcome)
             if isinstance(outcome, message.Response):
                 self._last_answer = self._clock()
                 self._isolated_since = None
@@ -129,6 +132,19 @@
                 break
         return result.Err(self._summarize(failures))
 
+    def _count(
+        self,
+        route: Route,
+        outcome: message.Response | Failure,
+    ) -> None:
+        answered = isinstance(outcome, message.Response)
+        self._metrics.store_calls.inc(
+            {
+                'route': 'direct' if route == self._direct else 'relay',
+                'outcome': 'answered' if answered else 'failed',
+            }
+        )
+
     def _routes(self) -> list[Route]:
         """Return the routes to try, the best one first."""
         peers = list(self._peers())
@@ -175,7 +191,6 @@
         request: message.Request,
         timeout: float,
     ) -> message.Response | Failure:
-        self.calls += 1
         answer = await self._pool.exchange(
             self._address, request, timeout=timeout
         )
--- a/src/nutmegworks/ingress/filters.py
+++ b/src/nutmegworks/ingress/filters.py
@@ -9,6 +9,7 @@
 from nutmegworks.fleet import configured
 from nutmegworks.ingress import call as calls
 from nutmegworks.net import message
+from nutmegworks.telemetry import fleetmetrics
 
 _LOG: typing.Final = logbook.Logger('ingress')
 
@@ -16,7 +17,10 @@
 
 
 class LogFilter(calls.Filter):
-    """Writes one line for each call."""
+    """Counts each call and writes one line for it."""
+
+    def __init__(self, metrics: fleetmetrics.FleetMetrics) -> None:
+        self._metrics = metrics
 
     async def handle(
         self,
@@ -24,13 +28,17 @@
         proceed: calls.Proceed,
     ) -> message.Response:
         response = await proceed(call)
+        seconds = time.monotonic() - call.received_at
+        labels = {'method': call.request.method}
+        self._metrics.calls.inc({**labels, 'status': str(response.status)})
+        self._metrics.call_seconds.observe(labels, seconds)
         _LOG.info(
             f'{call.request.method.lower()} answered',
             target=call.request.target,
             status=response.status,
             team=call.team_id,
             body=response.body[:80].decode('utf-8', 'replace'),
-            seconds=round(time.monotonic() - call.received_at, 4),
+            seconds=round(seconds, 4),
         )
         return response
 
--- /dev/null
+++ b/src/nutmegworks/telemetry/fleetmetrics.py
@@ -0,0 +1,91 @@
+"""Metrics of a daemon on the users' platform."""
+from __future__ import annotations
+
+import typing
+
+import aioprometheus
+from aioprometheus.formats import text
+
+from nutmegworks.net import message
+from nutmegworks.telemetry import metrics
+
+# Bounds of the time from a job's acceptance to its end, in seconds.
+JOB_BUCKETS: typing.Final = (
+    0.5, 1.0, 2.0, 3.0, 5.0, 8.0, 13.0, 21.0, 34.0, 55.0, 89.0
+)
+
+
+class FleetMetrics:
+    """All metrics of one daemon, in a registry of their own."""
+
+    def __init__(self) -> None:
+        self.registry = aioprometheus.Registry()
+        self.calls = self._counter(
+            'nutmeg_calls_total', "Clients' calls by method and status."
+        )
+        self.call_seconds = self._histogram(
+            'nutmeg_call_seconds',
+            "Seconds of clients' calls by method.",
+            metrics.LATENCY_BUCKETS,
+        )
+        self.store_calls = self._counter(
+            'nutmeg_store_calls_total',
+            'Calls to the store by route and outcome.',
+        )
+        self.starts = self._counter(
+            'nutmeg_starts_total', 'Orders to start a run by verdict.'
+        )
+        self.stops = self._counter(
+            'nutmeg_stops_total', 'Runs that were stopped.'
+        )
+        self.jobs_ended = self._counter(
+            'nutmeg_jobs_ended_total', 'Ended jobs by queue and state.'
+        )
+        self.job_seconds = self._histogram(
+            'nutmeg_job_seconds',
+            'Seconds from acceptance to the end, by queue.',
+            JOB_BUCKETS,
+        )
+        self.leading = self._gauge(
+            'nutmeg_leading', '1 while this daemon leads.'
+        )
+        self.jobs = self._gauge(
+            'nutmeg_jobs_unfinished', 'Unfinished jobs, on the leader.'
+        )
+        self.workers = self._gauge(
+            'nutmeg_workers_available', 'Workers that get work, on the leader.'
+        )
+        self.renewal_age = self._gauge(
+            'nutmeg_lease_renewal_age_seconds',
+            "Seconds since this daemon's lease was renewed.",
+        )
+        self.config_version = self._gauge(
+            'nutmeg_config_version', 'Version of the configuration in force.'
+        )
+
+    def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
+        return aioprometheus.Counter(name, doc, registry=self.registry)
+
+    def _gauge(self, name: str, doc: str) -> aioprometheus.Gauge:
+        return aioprometheus.Gauge(name, doc, registry=self.registry)
+
+    def _histogram(
+        self,
+        name: str,
+        doc: str,
+        buckets: typing.Iterable[float],
+    ) -> aioprometheus.Histogram:
+        return aioprometheus.Histogram(
+            name, doc, buckets=list(buckets), registry=self.registry
+        )
+
+    def render(self) -> message.Response:
+        """Return the text form for a scraper."""
+        return message.Response(
+            200,
+            {'content-type': 'text/plain; version=0.0.4'},
+            text.TextFormatter().marshall(self.registry),
+        )
+
+
+__all__ = ('FleetMetrics', 'JOB_BUCKETS')
--- a/tests/fleet/builders.py
+++ b/tests/fleet/builders.py
@@ -15,6 +15,7 @@
 from nutmegworks.platform import wire
 from nutmegworks.tasks import records
 from nutmegworks.tasks import workers
+from nutmegworks.telemetry import fleetmetrics
 from tests.fleet import memory
 
 SERVICE = 'planner'
@@ -145,6 +146,7 @@
         wire.PlatformDecoder(),
         elected,
         elected.leader,
+        fleetmetrics.FleetMetrics(),
         keep_seconds=120.0,
     )
     keeper = await curio.spawn(elected.run, daemon=True)
--- /dev/null
+++ b/tests/platform/test_wire.py
@@ -0,0 +1,175 @@
+"""Decoding of what the platform, its operators and its workers write."""
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from nutmegworks.model import ids
+from nutmegworks.platform import settings
+from nutmegworks.platform import wire
+from nutmegworks.tasks import configuration
+from nutmegworks.tasks import spec
+from nutmegworks.tasks import workers
+from tests.fleet import builders
+
+CONFIGURATION = {
+    'version':
+    7,
+    'routes': [
+        {
+            'name': 'r1',
+            'hostname': 'a.example',
+            'prefix': '/plans/',
+            'service': 'planner',
+            'targetLatencyMs': 250,
+            'priority': 0,
+            'maxAttempts': 2,
+            'stretch': 1.5,
+            'skipAuth': False,
+        },
+        {
+            'name': 'r2',
+            'hostname': 'a.example',
+            'prefix': '/plans/wide/',
+            'service': 'planner',
+        },
+    ],
+    'services': [{
+        'name': 'planner'
+    }],
+    'limits': {
+        'maxBodyBytes': 1000
+    },
+    'tenants':
+    [{
+        'name': 'north',
+        'apiKeys': ['k1', 'k2'],
+        'guaranteed': {
+            'gpu': 32
+        }
+    }],
+}
+
+
+def _configuration() -> configuration.Configuration:
+    return wire.decode_configuration(msgspec.json.encode(CONFIGURATION))
+
+
+def test_configuration() -> None:
+    """A misread limit or priority would go unnoticed in the bench."""
+    decoded = _configuration()
+    queue = decoded.queues_by_id[configuration.QueueId('r1')]
+    assert (queue.target, queue.attempts, queue.stretch) == (0.25, 2, 1.5)
+    team = decoded.team_of('k2')
+    assert team is not None and team.guaranteed == 32
+    assert decoded.team_of('k3') is None
+
+
+def test_the_longest_prefix_wins() -> None:
+    """A job would be queued in another class."""
+    decoded = _configuration()
+    wide = decoded.route('a.example', '/plans/wide/5c')
+    assert wide is not None and wide.queue_id == 'r2'
+    assert decoded.route('b.example', '/plans/5c') is None
+
+
+def test_submission_with_omitted_fields() -> None:
+    """Fields that are 0, false or empty are not sent."""
+    body = {
+        'spec':
+        'text',
+        'steps': [
+            builders.step(4, affinity='r1-3'),
+            builders.step(2, after=[0], gang=True, sameRack=True),
+        ],
+        'repeatCount':
+        3,
+        'startAtMs':
+        10_000,
+        'intervalMs':
+        4_500,
+    }
+    decoded = wire.decode_submission(msgspec.json.encode(body))
+    assert decoded.steps[0].data_rack == 'r1-3'
+    assert decoded.steps[0].room == spec.Room(1000, 100, 1)
+    assert decoded.steps[1].gang and decoded.steps[1].one_rack
+    assert decoded.due(spec.Occurrence(2)) == 19.0
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'{"steps":[]}',
+        b'{"steps":[{"count":0}]}',
+        b'{"steps":[{"count":1,"after":[0]}]}',
+        b'[]',
+        b'\xff',
+    ],
+)
+def test_a_submission_that_can_not_run_is_refused(body: bytes) -> None:
+    """Accepting it would queue a job that never ends."""
+    with pytest.raises(ValueError):
+        wire.decode_submission(body)
+
+
+def test_worker() -> None:
+    """The rack is one of the labels."""
+    document = builders.worker_document(state='draining', remainingMs=1500)
+    entry = wire.decode_worker('servers/w1', msgspec.json.encode(document))
+    assert entry.worker_id == ids.WorkerId('w1')
+    assert entry.rack == 'r1-1'
+    assert entry.state is workers.WorkerState.LEAVING
+    assert entry.remaining == 1.5
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {
+            'state': 'resting'
+        },
+        {
+            'address': 'nowhere'
+        },
+        {
+            'capacity': None
+        },
+        {
+            'labels': 'a'
+        },
+    ],
+)
+def test_an_entry_of_another_writer_names_no_worker(
+    change: dict[str, object]
+) -> None:
+    """One bad entry must not stop the reading of the others."""
+    document = {**builders.worker_document(), **change}
+    with pytest.raises(ValueError):
+        wire.decode_worker('servers/w1', msgspec.json.encode(document))
+
+
+def test_settings_ignore_unknown_fields() -> None:
+    """The platform adds fields without notice."""
+    document = {
+        'nodeName': 'edge-1',
+        'ip': '10.1.0.1',
+        'zone': 'north',
+        'bindAddrs': {
+            'front': '10.1.0.1:1',
+            'ready': '10.1.0.1:2',
+            'control': '10.1.0.1:3'
+        },
+        'internalPorts': [7000, 7015],
+        'platform': {
+            'address': '10.9.0.1:4'
+        },
+        'bounds': {
+            'maxHoldMs': 9000,
+            'status_s': 60
+        },
+        'news': {},
+    }
+    decoded = settings.decode(msgspec.json.encode(document))
+    assert decoded.peers == ('10.1.0.1', 7000)
+    assert decoded.bounds.max_lease == 9.0
+    assert decoded.bounds.status == 60
