--- a/src/nutmegworks/fleet/journal.py
+++ b/src/nutmegworks/fleet/journal.py
@@ -18,8 +18,9 @@
 
 _LOG: typing.Final = logbook.Logger('journal')
 
-# A transaction takes 32 entries: the sequence key and these records.
-MAX_RECORDS: typing.Final = 30
+# Of the 32 entries that a transaction takes, two are the expected revisions
+# and one is the sequence key.
+MAX_RECORDS: typing.Final = 29
 RETRY_SECONDS: typing.Final = 0.15
 
 
--- a/tests/fleet/memory.py
+++ b/tests/fleet/memory.py
@@ -13,6 +13,8 @@
 from nutmegworks.tasks import workers
 
 POLL_SECONDS: typing.Final = 0.005
+# The platform's limit on a transaction, its expected revisions included.
+MAX_ENTRIES: typing.Final = 32
 
 _DOWN: typing.Final = result.Err(
     interfaces.StoreError(interfaces.Effect.NONE, 'down')
@@ -125,6 +127,14 @@
     ) -> result.Result[interfaces.Commit, interfaces.StoreError]:
         if self.down:
             return _DOWN
+        entries = (
+            len(transaction.expected) + len(transaction.writes) +
+            len(transaction.removed)
+        )
+        if entries > MAX_ENTRIES:
+            return result.Err(
+                interfaces.StoreError(interfaces.Effect.UNKNOWN, 'status 400')
+            )
         if self.hold_commits:
             self._held.append(transaction)
             return _lost()
--- a/tests/fleet/test_journal.py
+++ b/tests/fleet/test_journal.py
@@ -103,3 +103,22 @@
         await given.task.cancel()
 
     helpers.run(main)
+
+
+def test_a_large_batch_is_divided() -> None:
+    """After an outage many records change at once; the store takes 32."""
+
+    async def main() -> None:
+        given = _Journaling()
+        await given.start()
+        job_ids = [ids.JobId(f'{number:x}') for number in range(75)]
+        async with curio.timeout_after(2.0):
+            await given.journal.persist(job_ids)
+        stored = [
+            key for key in given.store.item_by_key
+            if key.startswith(records.PROGRESS_PREFIX)
+        ]
+        assert len(stored) == 75
+        await given.task.cancel()
+
+    helpers.run(main)
