fleet: tasks of workers that left with the old leader start anew

Cause: read in the code: a run that an earlier leader recorded on a worker whose entry was gone before the new leader read the list stayed adopted for ever, and its task never started again; and a listing made before the removal of an old job could bring it back without its progress. Ruled out: relying on the worker's session (there is none without an entry).

--- a/src/nutmegworks/fleet/leader.py
+++ b/src/nutmegworks/fleet/leader.py
@@ -68,7 +68,8 @@
             )
             return
         job_id = ids.JobId(name)
-        if job_id in self._state.jobs_by_id:
+        known = self._state.jobs_by_id
+        if job_id in known or job_id in self._state.removed_ids:
             return
         try:
             accepted = msgspec.json.decode(item.value, type=records.Accepted)
@@ -100,10 +101,7 @@
     ) -> None:
         self._state = state
         self._decoder = decoder
-        self._adopted_until = (
-            started_at + fleet_worker.EARLIER_LEADER_SECONDS +
-            fleet_worker.LONGEST_LEASE_SECONDS / fleet_worker.SLOWEST_CLOCK
-        )
+        self._adopted_until = fleet_worker.adopted_until(started_at)
         self._open_session = open_session
 
     async def replace(self, items: typing.Sequence[interfaces.Item]) -> None:
@@ -223,6 +221,7 @@
             self._orders.run,
             self._scheduler.run,
             self._clean_up,
+            functools.partial(self._release_lost_runs, started_at),
         )
 
     async def _load(self, started_at: float) -> list[follow.Follower]:
@@ -336,6 +335,16 @@
             if job is not None and not records.FINAL[job.stored_state]:
                 job.stored_state = state
 
+    async def _release_lost_runs(self, started_at: float) -> None:
+        """Start anew what ran on workers that left with the old leader."""
+        left = fleet_worker.adopted_until(started_at
+                                          ) - (membership.steady_clock())
+        await curio.sleep(max(0.0, left))
+        while True:
+            self.state.lose_runs_of_unknown_workers()
+            await self.state.notify()
+            await curio.sleep(CLEANUP_SECONDS)
+
     async def _clean_up(self) -> None:
         """Remove final jobs that nobody may ask for any more."""
         while True:
@@ -348,6 +357,7 @@
             ]
             for job_id in old:
                 del self.state.jobs_by_id[job_id]
+            self.state.removed_ids.update(old)
             if old:
                 await self._journal.persist(old)
             for worker_id, worker in list(self.state.workers_by_id.items()):
--- a/src/nutmegworks/fleet/reports.py
+++ b/src/nutmegworks/fleet/reports.py
@@ -57,7 +57,7 @@
             self._take_status(worker, status, now)
         for run in list(worker.runs_by_key.values()):
             if run.key not in listed and _must_be_listed(run, sent_at):
-                self._lose(run, 'not on the worker')
+                self._state.lose_run(run, 'not on the worker')
         self._check_progress(worker, now)
         if worker.processed > worker.acknowledged:
             await self._acknowledge(worker, worker.processed)
@@ -78,15 +78,11 @@
         worker.start_anew(report.born)
         for run in list(worker.runs_by_key.values()):
             if run.born != report.born:
-                self._lose(run, 'worker started anew')
-
-    def _lose(self, run: table.Run, reason: str) -> None:
-        self._state.drop_run(run, reason)
-        self._state.stop_gang(run, f'a member is gone: {reason}')
+                self._state.lose_run(run, 'worker started anew')
 
     def take_lapse(self, worker: fleet_worker.Worker) -> None:
         for run in list(worker.runs_by_key.values()):
-            self._lose(run, 'lease ended')
+            self._state.lose_run(run, 'lease ended')
         # Whatever it lists when it answers again starts a new account.
         worker.answered_at = None
         worker.adopted_until = membership.steady_clock()
--- a/src/nutmegworks/fleet/state.py
+++ b/src/nutmegworks/fleet/state.py
@@ -29,6 +29,9 @@
         self.jobs_by_id: dict[ids.JobId, table.Job] = {}
         self.workers_by_id: dict[ids.WorkerId, fleet_worker.Worker] = {}
         self.cancelled_ids: set[ids.JobId] = set()
+        # Jobs whose records are being removed. A listing that was made before
+        # the removal must not bring them back.
+        self.removed_ids: set[ids.JobId] = set()
         self.suspicion = suspicion.Suspicion()
         # Set whenever a decision may have become possible.
         self.wake = curio.Event()
@@ -91,6 +94,21 @@
             age=round(membership.steady_clock() - run.ordered_at, 3),
         )
 
+    def lose_run(self, run: table.Run, reason: str) -> None:
+        """Forget a run that ended unseen, and stop its gang."""
+        self.drop_run(run, reason)
+        self.stop_gang(run, f'a member is gone: {reason}')
+
+    def lose_runs_of_unknown_workers(self) -> None:
+        """Forget adopted runs whose workers have no entry any more.
+
+        Call it after the leases of an earlier leader have surely ended.
+        """
+        for job in self.jobs_by_id.values():
+            for run in list(job.runs_by_task.values()):
+                if run.worker_id not in self.workers_by_id:
+                    self.lose_run(run, 'the worker is gone')
+
     def stop_run(self, run: table.Run, reason: str) -> None:
         """Have a run stopped; it keeps its room until it has ended."""
         if run.released or run.phase is table.RunPhase.STOPPING:
--- a/src/nutmegworks/fleet/worker.py
+++ b/src/nutmegworks/fleet/worker.py
@@ -24,6 +24,16 @@
 # A worker that did not answer for this time gets no new work.
 STALE_SECONDS: typing.Final = 2.5
 
+
+def adopted_until(started_at: float) -> float:
+    """Return when the leases of earlier leaders have surely ended.
+
+    :param started_at: steady seconds of the start of the present term.
+    """
+    longest = LONGEST_LEASE_SECONDS / SLOWEST_CLOCK
+    return started_at + EARLIER_LEADER_SECONDS + longest
+
+
 RunKey = tuple[spec.TaskKey, workers.RunNumber]
 
 
@@ -117,4 +127,5 @@
     'LONGEST_LEASE_SECONDS',
     'RunKey',
     'Worker',
+    'adopted_until',
 )
--- a/tests/fleet/test_term.py
+++ b/tests/fleet/test_term.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import curio
+import pytest
 
 from nutmegworks.fleet import worker as fleet_worker
 from nutmegworks.model import ids
@@ -307,3 +308,39 @@
     worker.note_answer(workers.Report(5000, entry.born, (), ()), 50.0)
     assert not worker.lapsed(59.0)
     assert worker.lapsed(62.0)
+
+
+def test_work_of_a_worker_that_left_with_the_old_leader_starts_anew(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its record would keep the task waiting for ever."""
+    monkeypatch.setattr(fleet_worker, 'EARLIER_LEADER_SECONDS', 0.1)
+    monkeypatch.setattr(fleet_worker, 'LONGEST_LEASE_SECONDS', 0.2)
+
+    async def main() -> None:
+        store, fleet = _fleet('w1')
+        async with builders.leading(store, fleet):
+            builders.put_job(store, JOB, builders.accepted())
+            await builders.until(lambda: fleet.starts)
+        store.remove('servers/w1')
+        builders.put_worker(store, 'w2')
+        async with builders.leading(store, fleet):
+            await builders.until(lambda: len(fleet.starts) == 2)
+            assert [worker_id for worker_id, _ in fleet.starts] == ['w1', 'w2']
+
+    helpers.run(main)
+
+
+def test_an_old_listing_does_not_bring_a_removed_job_back() -> None:
+    """It would run a second time, without its progress."""
+
+    async def main() -> None:
+        store, fleet = _fleet()
+        async with builders.leading(store, fleet) as term:
+            await builders.until(lambda: term.loaded)
+            term.state.removed_ids.add(JOB)
+            builders.put_job(store, JOB, builders.accepted())
+            await curio.sleep(0.2)
+            assert fleet.starts == []
+
+    helpers.run(main)
