fleet: a later event of a key undoes an earlier one of the same answer

Ruled out: ordering at the store (events come in order; we split them). Change: Changes.settled keeps the last event of each key; two names of the platform move into nutmegworks.platform; a wrong comment and an unused alias are gone.

--- a/src/nutmegworks/adapters/__init__.py
+++ b/src/nutmegworks/adapters/__init__.py
@@ -1,1 +1,1 @@
-"""Interfaces to the platform and one HTTP adapter for each."""
+"""Interfaces of the stand-alone daemon to its platform, with adapters."""
--- a/src/nutmegworks/daemon/fleetnode.py
+++ b/src/nutmegworks/daemon/fleetnode.py
@@ -49,14 +49,11 @@
 # A call without a deadline may take this long, in seconds.
 DEFAULT_DEADLINE_SECONDS: typing.Final = 3.0
 METRICS_PATH: typing.Final = '/metrics'
-CONFIGURATION_PREFIX: typing.Final = 'op/'
 # Changes of the configuration and of the leader are rare; each watch costs a
 # call when it returns.
 CONTROL_PAUSE_SECONDS: typing.Final = 0.02
 CONTROL_RELIST_SECONDS: typing.Final = 6.0
 
-_DEADLINE_HEADER: typing.Final = 'x-deadline-ms'
-
 
 class FleetNode:
     """One daemon: serves clients and, if it leads, decides."""
@@ -120,7 +117,7 @@
         self,
         request: message.Request,
     ) -> message.Response:
-        header = request.headers.get(_DEADLINE_HEADER, '')
+        header = request.headers.get(wire.DEADLINE_HEADER, '')
         deadline = DEFAULT_DEADLINE_SECONDS
         if header.isdigit():
             deadline = int(header) / 1000
@@ -214,7 +211,7 @@
             _LOG.info('node serves', address=self._callers.address)
             await supervision.run_until_first(
                 self._follower(
-                    CONFIGURATION_PREFIX,
+                    wire.OPERATORS_PREFIX,
                     configured.ConfigurationSink(self._current, self._decoder),
                 ).run,
                 self._follower(
--- a/src/nutmegworks/fleet/follow.py
+++ b/src/nutmegworks/fleet/follow.py
@@ -107,7 +107,7 @@
             # Not after an empty answer: a watch that heard nothing may have
             # missed changes before that revision.
             self._revision = max(self._revision, changes.revision)
-            await self._sink.change(changes)
+            await self._sink.change(changes.settled())
             await curio.sleep(self._pause)
         return True
 
--- a/src/nutmegworks/fleet/interfaces.py
+++ b/src/nutmegworks/fleet/interfaces.py
@@ -64,6 +64,23 @@
     removed: tuple[tuple[str, ids.StoreRevision], ...]
     revision: ids.StoreRevision
 
+    def settled(self) -> Changes:
+        """Return the changes without those that a later one undid."""
+        written = {item.key: item.revision for item in self.items}
+        removed = dict(self.removed)
+        return Changes(
+            tuple(
+                item for item in self.items
+                if item.revision >= removed.get(item.key, ABSENT)
+            ),
+            tuple(
+                (key, revision)
+                for key, revision in self.removed
+                if revision > written.get(key, ABSENT)
+            ),
+            self.revision,
+        )
+
 
 class HistoryLostError(Exception):
     """The store no longer knows the changes after a revision."""
--- a/src/nutmegworks/fleet/orders.py
+++ b/src/nutmegworks/fleet/orders.py
@@ -24,7 +24,7 @@
 FULL_SECONDS: typing.Final = 0.5
 # A job whose order a worker called invalid is tried again after this time.
 INVALID_PAUSE_SECONDS: typing.Final = 2.0
-# Calls of one gang that are under way at a time.
+# A leader whose lease is not renewed looks this often whether it is again.
 ORDER_POLL_SECONDS: typing.Final = 0.1
 
 # What remains to be done after an answer to a start.
--- a/src/nutmegworks/fleet/reports.py
+++ b/src/nutmegworks/fleet/reports.py
@@ -15,8 +15,6 @@
 
 _LOG: typing.Final = logbook.Logger('reports')
 
-Store = typing.Callable[[], typing.Awaitable[None]]
-
 # A run may stand still this long; healthy ones gain a percent in far less.
 STALL_SECONDS: typing.Final = 2.5
 # Runs with a longer estimate gain a percent more seldom.
--- a/src/nutmegworks/platform/wire.py
+++ b/src/nutmegworks/platform/wire.py
@@ -12,7 +12,10 @@
 from nutmegworks.tasks import spec
 from nutmegworks.tasks import workers
 
+OPERATORS_PREFIX: typing.Final = 'op/'
 CONFIGURATION_KEY: typing.Final = 'op/config'
+# Milliseconds that a client waits for the response to a call.
+DEADLINE_HEADER: typing.Final = 'x-deadline-ms'
 WORKERS_PREFIX: typing.Final = 'servers/'
 
 # Racks are labels of the form r1-3; the other labels name the kind.
@@ -240,6 +243,8 @@
 
 __all__ = (
     'CONFIGURATION_KEY',
+    'DEADLINE_HEADER',
+    'OPERATORS_PREFIX',
     'PlatformDecoder',
     'WORKERS_PREFIX',
     'decode_configuration',
--- a/tests/fleet/test_follow.py
+++ b/tests/fleet/test_follow.py
@@ -7,6 +7,7 @@
 
 from nutmegworks.fleet import follow
 from nutmegworks.fleet import interfaces
+from nutmegworks.model import ids
 from tests.fleet import memory
 from tests import helpers
 
@@ -38,6 +39,23 @@
     return store, recorder, follower
 
 
+def test_a_key_that_was_written_and_then_removed_is_gone() -> None:
+    """A worker that has left would be taken for one that is ready."""
+    revision = ids.StoreRevision
+    written = interfaces.Item('servers/w1', b'1', revision(5))
+    back = interfaces.Item('servers/w2', b'1', revision(8))
+    changes = interfaces.Changes(
+        (written, back),
+        (('servers/w1', revision(6)), ('servers/w2', revision(7))),
+        revision(8),
+    )
+
+    settled = changes.settled()
+
+    assert settled.items == (back, )
+    assert settled.removed == (('servers/w1', revision(6)), )
+
+
 def test_changes_arrive() -> None:
     """A follower that only lists would be late."""
 
