fleet: promised room of victims reaches the next round

Cause: made planning keep the room of victims for the job that they yielded to, but the scheduler never passed the promises on, so the next round gave the room to whoever came first.

--- a/src/nutmegworks/fleet/scheduler.py
+++ b/src/nutmegworks/fleet/scheduler.py
@@ -71,9 +71,16 @@
         self._evacuate(now)
         waiting = list(self._demands(now))
         if waiting:
-            plan = planning.plan(waiting, self._slots(now), self._running(now))
+            plan = planning.plan(
+                waiting,
+                self._slots(now),
+                self._running(now),
+                self._valid_promises(now),
+            )
             for task, job_id in plan.stops:
                 self._preempt(task, job_id)
+            for key, placement in plan.promised.items():
+                self._promises[key] = placement, now + PROMISE_SECONDS
             for start in plan.starts:
                 self._promises.pop(start.demand.key, None)
                 await self._start(start, now)
