policy: urgent work evicts where it pays; gangs wait for one rack

Change: the leader knows which teams' urgent jobs their guarantee covers; these still make others yield at any price within 1.6 s. Others do only if what is thrown away is worth no more than what the urgent work earns, and may wait longer for room that comes free. A gang goes over several racks only if no rack can hold it, after twice its duration, or while most workers are idle.

--- a/src/nutmegworks/bench/fleetmodel.py
+++ b/src/nutmegworks/bench/fleetmodel.py
@@ -39,6 +39,8 @@
 MOST_WORTH: typing.Final = 4.0
 WORKER_ROOM: typing.Final = spec.Room(128_000, 512_000, 8)
 CORES_PER_ACCELERATOR: typing.Final = 8.0
+# One in so many urgent jobs is covered by its team's guarantee.
+GUARANTEED_EVERY: typing.Final = 2
 # Progress from which the rest of a run is extrapolated.
 KNOWN_PROGRESS: typing.Final = 0.05
 
@@ -332,6 +334,10 @@
             sequence=job.sequence,
             service_id=SERVICE,
             expected=expected,
+            guaranteed=(
+                job.job_class.priority == 0
+                and job.sequence % GUARANTEED_EVERY == 0
+            ),
         )
 
     def _slots(self) -> list[fitting.Slot]:
--- a/src/nutmegworks/daemon/fleetnode.py
+++ b/src/nutmegworks/daemon/fleetnode.py
@@ -102,6 +102,7 @@
             self._member,
             leadership,
             self._metrics,
+            self._current,
             keep_seconds=self._settings.bounds.status,
         )
 
--- a/src/nutmegworks/fleet/leader.py
+++ b/src/nutmegworks/fleet/leader.py
@@ -9,6 +9,7 @@
 import logbook
 import msgspec
 
+from nutmegworks.fleet import configured
 from nutmegworks.fleet import follow
 from nutmegworks.fleet import interfaces
 from nutmegworks.fleet import journal as journals
@@ -173,6 +174,7 @@
         member: membership.Membership,
         leadership: membership.Leadership,
         metrics: fleetmetrics.FleetMetrics,
+        current: configured.Current,
         *,
         keep_seconds: float,
     ) -> None:
@@ -195,7 +197,9 @@
             self._token,
             self._depose,
         )
-        self._scheduler = scheduler.Scheduler(self.state, self._orders, member)
+        self._scheduler = scheduler.Scheduler(
+            self.state, self._orders, member, current
+        )
         self._reports = fleet_reports.Reports(self.state, self._acknowledge)
 
     async def _depose(self, reason: str) -> None:
--- a/src/nutmegworks/fleet/scheduler.py
+++ b/src/nutmegworks/fleet/scheduler.py
@@ -8,6 +8,7 @@
 import curio
 import logbook
 
+from nutmegworks.fleet import configured
 from nutmegworks.fleet import membership
 from nutmegworks.fleet import orders as fleet_orders
 from nutmegworks.fleet import state as fleet_state
@@ -47,8 +48,10 @@
         state: fleet_state.FleetState,
         orders: fleet_orders.Orders,
         member: membership.Membership,
+        current: configured.Current,
     ) -> None:
         self._state = state
+        self._current = current
         self._orders = orders
         self._member = member
         # Room of victims, by the demand that gets it, with steady seconds at
@@ -203,6 +206,7 @@
 
     def _demands(self, now: float) -> typing.Iterator[demands.Demand]:
         wall = time.time()
+        covered = self._covered_teams()
         for job in self._state.jobs_by_id.values():
             if job.final or now < job.not_before:
                 continue
@@ -211,7 +215,9 @@
                 occurrence = spec.Occurrence(number)
                 if submission.timed and submission.due(occurrence) > wall:
                     break
-                yield from self._step_demands(job, occurrence, now, wall)
+                yield from self._step_demands(
+                    job, occurrence, now, wall, covered
+                )
 
     def _step_demands(
         self,
@@ -219,6 +225,7 @@
         occurrence: spec.Occurrence,
         now: float,
         wall: float,
+        covered: typing.Collection[ids.TeamId],
     ) -> typing.Iterator[demands.Demand]:
         submission = job.submission
         expected = functools.partial(self._state.expected, job)
@@ -261,7 +268,33 @@
                 avoid=self._avoid(job),
                 used_by_worker=used,
                 expected=expected(step),
+                guaranteed=(
+                    job.accepted.priority == 0 and job.accepted.team in covered
+                ),
+            )
+
+    def _covered_teams(self) -> typing.Collection[ids.TeamId]:
+        """Return the teams whose urgent jobs their guarantee covers."""
+        configuration = self._current.value
+        if configuration is None:
+            return frozenset()
+        needed: dict[ids.TeamId, int] = {}
+        for job in self._state.jobs_by_id.values():
+            if job.accepted.priority or job.final:
+                continue
+            team_id = ids.TeamId(job.accepted.team)
+            widest = max(
+                step.room.times(step.count).accelerators
+                for step in job.submission.steps
             )
+            needed[team_id] = needed.get(team_id, 0) + widest
+        return demands.guaranteed_teams(
+            needed,
+            {
+                team_id: team.guaranteed
+                for team_id, team in configuration.teams_by_id.items()
+            },
+        )
 
     def _avoid(self, job: table.Job) -> frozenset[ids.WorkerId]:
         """Return workers on which the job failed, unless these are many."""
--- a/src/nutmegworks/policy/demand.py
+++ b/src/nutmegworks/policy/demand.py
@@ -10,9 +10,6 @@
 
 # A job that ends after this many times its objective earns nothing.
 LATE_FACTOR: typing.Final = 3.0
-# Waiting for the data's rack is given up when this share of the time that the
-# objective leaves beyond the work itself has passed.
-NEAR_PATIENCE: typing.Final = 0.35
 
 
 class Prospect(enum.IntEnum):
@@ -40,6 +37,8 @@
     :param used_by_worker: tasks of the step that a worker holds already.
     :param expected: seconds that each task is expected to take; the declared
         time if it is not given.
+    :param guaranteed: the team's guarantee covers the tasks, so that others
+        have to yield whatever it costs.
     """
 
     job_id: ids.JobId
@@ -58,6 +57,7 @@
         default_factory=dict
     )
     expected: float | None = None
+    guaranteed: bool = False
 
     @property
     def duration(self) -> float:
@@ -86,11 +86,23 @@
             return Prospect.LATE
         return Prospect.HOPELESS
 
-    @property
-    def patient(self) -> bool:
-        """Whether waiting for near workers can still pay."""
-        spare = self.objective - self.remaining
-        return self.waited < NEAR_PATIENCE * spare
+
+def guaranteed_teams(
+    needed_by_team: typing.Mapping[ids.TeamId, int],
+    guaranteed_by_team: typing.Mapping[ids.TeamId, int],
+) -> frozenset[ids.TeamId]:
+    """Return the teams whose urgent jobs all fit into their guarantee.
+
+    :param needed_by_team: accelerators of a team's unfinished urgent jobs.
+    :param guaranteed_by_team: accelerators that a team can reclaim.
+
+    >>> sorted(guaranteed_teams({'a': 8, 'b': 9}, {'a': 8, 'b': 8}))
+    ['a']
+    """
+    return frozenset(
+        team_id for team_id, needed in needed_by_team.items()
+        if needed <= guaranteed_by_team.get(team_id, 0)
+    )
 
 
 def order(demands: typing.Iterable[Demand]) -> list[Demand]:
@@ -109,4 +121,11 @@
     )
 
 
-__all__ = ('Demand', 'DemandKey', 'LATE_FACTOR', 'Prospect', 'order')
+__all__ = (
+    'Demand',
+    'DemandKey',
+    'LATE_FACTOR',
+    'Prospect',
+    'guaranteed_teams',
+    'order',
+)
--- a/src/nutmegworks/policy/fitting.py
+++ b/src/nutmegworks/policy/fitting.py
@@ -198,6 +198,23 @@
     return best
 
 
+def fits_near(
+    demand: demands.Demand,
+    slots: typing.Iterable[Slot],
+) -> bool:
+    """Return whether empty workers hold the tasks where they are fast."""
+    for group in groups(demand, suitable(demand, slots), far=False):
+        left = len(demand.indexes)
+        for slot in group:
+            left -= copies(demand, slot, slot.total)
+            if left <= 0:
+                return True
+        if group and not demand.step.gang:
+            # Tasks that work alone may follow one another there.
+            return True
+    return False
+
+
 def earliest(
     demand: demands.Demand,
     slots: typing.Sequence[Slot],
@@ -234,6 +251,7 @@
     'Slot',
     'copies',
     'earliest',
+    'fits_near',
     'groups',
     'place',
     'suitable',
--- a/src/nutmegworks/policy/planning.py
+++ b/src/nutmegworks/policy/planning.py
@@ -22,6 +22,15 @@
 PATIENCE_SHARE: typing.Final = 0.5
 # Guaranteed shapes start within 2.7 s; a stop and a start take part of it.
 RECLAIM_SECONDS: typing.Final = 1.6
+# Where no guarantee asks for it, work is thrown away only for this share of
+# what the urgent work earns: the victims lose their objectives besides.
+EVICTION_SHARE: typing.Final = 1.0
+# Far from its data or over several racks, work takes three times as long, so
+# twice its duration is spent on waiting for near room just as well.
+FAR_PATIENCE: typing.Final = 2.0
+# Idle workers are not left idle for longer: nothing may run for 3 s at most
+# while most of a service is free.
+IDLE_PATIENCE_SECONDS: typing.Final = 1.5
 # Seconds that a victim may take to stop.
 STOPPING_SECONDS: typing.Final = 0.5
 
@@ -112,6 +121,27 @@
         if demand.step.gang and self.holds < MAX_HOLDS:
             self._hold(demand)
 
+    def _goes_far(self, demand: demands.Demand) -> bool:
+        """Return whether the tasks may also run where they are slow.
+
+        Such a run takes as long as waiting for near room and running there.
+        """
+        tied = demand.step.data_rack or (
+            demand.step.gang and demand.step.one_rack
+        )
+        if not tied:
+            return False
+        if demand.waited > FAR_PATIENCE * demand.duration:
+            return True
+        if demand.waited > IDLE_PATIENCE_SECONDS and self._is_half_empty():
+            return True
+        return not fitting.fits_near(demand, self._slots)
+
+    def _is_half_empty(self) -> bool:
+        free = sum(slot.free.accelerators for slot in self._slots)
+        total = sum(slot.total.accelerators for slot in self._slots)
+        return 2 * free > total
+
     def _open_to(self, demand: demands.Demand) -> list[fitting.Slot]:
         duration = demand.duration * BACKFILL_MARGIN
         return [slot for slot in self._slots if slot.held_from > duration]
@@ -141,7 +171,7 @@
 
     def _place(self, demand: demands.Demand) -> demands.Demand:
         placement = fitting.place(
-            demand, self._open_to(demand), far=not demand.patient
+            demand, self._open_to(demand), far=self._goes_far(demand)
         )
         indexes = demand.indexes[:len(placement)]
         if not indexes:
@@ -173,6 +203,9 @@
         eviction = victims.choose(demand, open_slots, self._running)
         if eviction is None:
             return False
+        if not demand.guaranteed:
+            if eviction.loss > EVICTION_SHARE * victims.gain(demand):
+                return False
         for task in eviction.victims:
             self.stops.append((task, demand.job_id))
             self._running.remove(task)
@@ -185,6 +218,8 @@
         return True
 
     def _hold(self, demand: demands.Demand) -> None:
+        # Not for gangs over several racks: room for them would empty much of
+        # the fleet.
         when, placement = fitting.earliest(demand, self._unpromised())
         if math.isinf(when):
             return
@@ -208,8 +243,10 @@
 def _patience(demand: demands.Demand) -> float:
     """Return for how many seconds a demand may wait before others yield."""
     spare = demand.objective - demand.remaining - demand.waited
-    left = RECLAIM_SECONDS - demand.waited
-    return min(PATIENCE_SHARE * spare, left)
+    patience = PATIENCE_SHARE * spare
+    if demand.guaranteed:
+        patience = min(patience, RECLAIM_SECONDS - demand.waited)
+    return patience
 
 
 def plan(
--- a/src/nutmegworks/policy/victims.py
+++ b/src/nutmegworks/policy/victims.py
@@ -23,6 +23,13 @@
 CORES_PER_ACCELERATOR: typing.Final = 8.0
 MILLICORES: typing.Final = 1000.0
 
+# What a job earns of its worth; late ones earn a fifth to a third.
+EARNED_SHARE: typing.Final = {
+    demands.Prospect.ON_TIME: 1.0,
+    demands.Prospect.LATE: 0.25,
+    demands.Prospect.HOPELESS: 0.0,
+}
+
 # Names runs that end together.
 Group = tuple[str, ...]
 
@@ -45,10 +52,7 @@
 
     def loss(self) -> float:
         """Return the lost work in core-seconds, weighted by its class."""
-        cores = (
-            self.room.cpu / MILLICORES +
-            CORES_PER_ACCELERATOR * self.room.accelerators
-        )
+        cores = cores_of(self.room)
         share = CHECKPOINTED_LOSS_SHARE if self.checkpoints else 1.0
         return cores * (STOP_SECONDS +
                         self.elapsed * share) * _weight(self.priority)
@@ -58,6 +62,17 @@
     return CLASS_FACTOR**max(0, LOWEST_CLASS - priority)
 
 
+def cores_of(room: spec.Room) -> float:
+    """Return what a room counts in cores, in the account of lost work."""
+    return (room.cpu / MILLICORES + CORES_PER_ACCELERATOR * room.accelerators)
+
+
+def gain(demand: demands.Demand) -> float:
+    """Return the weighted core-seconds that starting a demand now earns."""
+    work = cores_of(demand.step.room) * len(demand.indexes) * demand.duration
+    return work * _weight(demand.priority) * EARNED_SHARE[demand.prospect]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Eviction:
     """Runs to stop, and the workers that the demand then gets."""
@@ -221,4 +236,4 @@
     return min(found, key=lambda eviction: eviction.loss, default=None)
 
 
-__all__ = ('Eviction', 'RunningTask', 'choose')
+__all__ = ('Eviction', 'RunningTask', 'choose', 'cores_of', 'gain')
--- a/tests/fleet/builders.py
+++ b/tests/fleet/builders.py
@@ -8,11 +8,13 @@
 import curio
 import msgspec
 
+from nutmegworks.fleet import configured
 from nutmegworks.fleet import interfaces
 from nutmegworks.fleet import leader
 from nutmegworks.fleet import membership
 from nutmegworks.model import ids
 from nutmegworks.platform import wire
+from nutmegworks.tasks import configuration
 from nutmegworks.tasks import records
 from nutmegworks.tasks import workers
 from nutmegworks.telemetry import fleetmetrics
@@ -79,6 +81,19 @@
     }
 
 
+def current(guaranteed: int = 64) -> configured.Current:
+    """Return a configuration in which the team has a guarantee."""
+    team_id = ids.TeamId('north')
+    made = configured.Current()
+    made.value = configuration.Configuration(
+        1,
+        {},
+        {team_id: configuration.Team(team_id, guaranteed=guaranteed)},
+        frozenset({ids.ServiceId(SERVICE)}),
+    )
+    return made
+
+
 def put_job(
     store: memory.MemoryStore,
     job_id: str,
@@ -153,6 +168,7 @@
         elected,
         elected.leader,
         fleetmetrics.FleetMetrics(),
+        current(),
         keep_seconds=120.0,
     )
     keeper = await curio.spawn(elected.run, daemon=True)
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -66,8 +66,10 @@
     objective: float = 20.0,
     sequence: int = 1,
     used_by_worker: typing.Mapping[str, int] | None = None,
+    guaranteed: bool | None = None,
     **of_step: typing.Any,
 ) -> demands.Demand:
+    """Return a demand; urgent ones are guaranteed unless said otherwise."""
     made = step(tasks=tasks, **of_step)
     return demands.Demand(
         job_id=ids.JobId(job_id),
@@ -84,6 +86,7 @@
             ids.WorkerId(worker_id): count
             for worker_id, count in (used_by_worker or {}).items()
         },
+        guaranteed=priority == 0 if guaranteed is None else guaranteed,
     )
 
 
