soak: daemons as processes under random faults

Runs nutmegworks.daemon.fleet as processes against a store and workers of our own over HTTP, with a relay in front of the store (delayed, cut one way, silenced, reset), signals (kill, terminate, pause) aimed at the leader for 0.6 of the time, outages, slow and lost answers and dropped history of the store, and workers that fall silent or crash. Not covered: clocks that jump, because a process's clock can't be moved without a preloaded library.

--- a/standins/relay.py
+++ b/standins/relay.py
@@ -16,18 +16,22 @@
 from nutmegworks.net import signals
 
 CHUNK_BYTES: typing.Final = 65536
+DELAY_SECONDS: typing.Final = 0.2
 
 
 class Mode(enum.Enum):
     """What happens to connections.
 
     SILENT swallows what open connections send; new ones work. CUT closes
-    open connections and refuses new ones.
+    open connections and refuses new ones. ONE_WAY swallows answers on all
+    connections, DELAY holds each chunk for a time.
     """
 
     PASS = 'pass'
     SILENT = 'silent'
     CUT = 'cut'
+    ONE_WAY = 'one-way'
+    DELAY = 'delay'
 
 
 class _Command(msgspec.Struct):
@@ -46,14 +50,18 @@
 
     async def control(self, request: message.Request) -> message.Response:
         """Serve ``POST /fault`` with ``{"mode": ...}``."""
-        self._mode = msgspec.json.decode(request.body, type=_Command).mode
-        if self._mode is Mode.SILENT:
+        self.set_mode(msgspec.json.decode(request.body, type=_Command).mode)
+        return message.json_response(200, {})
+
+    def set_mode(self, mode: Mode) -> None:
+        """Change what happens from now on."""
+        self._mode = mode
+        if mode is Mode.SILENT:
             self._silenced.update(self._open)
-        if self._mode is Mode.CUT:
+        if mode is Mode.CUT:
             for pair in list(self._open.values()):
                 for sock in pair:
                     _shut_down(sock)
-        return message.json_response(200, {})
 
     async def serve(self, sock: curio.io.Socket) -> None:
         """Relay one connection."""
@@ -69,8 +77,8 @@
         number = self._count
         self._open[number] = (sock, upstream)
         async with curio.TaskGroup(wait=any) as group:
-            await group.spawn(self._pump, number, sock, upstream)
-            await group.spawn(self._pump, number, upstream, sock)
+            await group.spawn(self._pump, number, sock, upstream, False)
+            await group.spawn(self._pump, number, upstream, sock, True)
         self._open.pop(number, None)
         self._silenced.discard(number)
         await sock.close()
@@ -81,12 +89,16 @@
         number: int,
         source: curio.io.Socket,
         sink: curio.io.Socket,
+        answers: bool,
     ) -> None:
         try:
             while data := await source.recv(CHUNK_BYTES):
                 if self._mode is Mode.CUT:
                     return
-                if number not in self._silenced:
+                if self._mode is Mode.DELAY:
+                    await curio.sleep(DELAY_SECONDS)
+                swallowed = self._mode is Mode.ONE_WAY and answers
+                if number not in self._silenced and not swallowed:
                     await sink.sendall(data)
         except OSError:
             return
@@ -110,12 +122,13 @@
         flush=True
     )
     async with signals.SignalReceiver(signal.SIGTERM) as received:
-        task = await curio.spawn(_accept, relay, listener, daemon=True)
+        task = await curio.spawn(accept, relay, listener, daemon=True)
         await received.get()
         await task.cancel()
 
 
-async def _accept(relay: Relay, listener: curio.io.Socket) -> None:
+async def accept(relay: Relay, listener: curio.io.Socket) -> None:
+    """Relay every connection of a listener, until cancelled."""
     while True:
         sock, _ = await listener.accept()
         await curio.spawn(relay.serve, sock, daemon=True)
@@ -130,4 +143,4 @@
 if __name__ == '__main__':
     typer.run(main)
 
-__all__ = ('Mode', 'Relay', 'main')
+__all__ = ('Mode', 'Relay', 'accept', 'main')
--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,478 @@
+"""Runs daemons as processes under random faults and checks the promises.
+
+    PYTHONPATH=src:. python -m tests.soak.run --seed 1 --seconds 30
+
+The seed fixes faults and load; the timing of processes is the machine's.
+"""
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import os
+import pathlib
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import typing
+
+import curio
+import curio.socket
+import msgspec
+import typer
+
+from nutmegworks.model import ids
+from nutmegworks.net import client
+from nutmegworks.net import message
+from nutmegworks.net import pool
+from nutmegworks.net import server
+from nutmegworks.tasks import records
+from nutmegworks.tasks import spec
+from standins import relay as relays
+from tests.soak import platform
+from tests.soak import witness as witnesses
+
+HOST: typing.Final = '127.0.0.1'
+QUEUE_HOST: typing.Final = 'soak.example'
+PREFIX: typing.Final = '/q/'
+KEY: typing.Final = 'soak-key'
+START_SECONDS: typing.Final = 20.0
+# After the faults, for leases to end, a leader to be elected and the rest of
+# the work to be done.
+SETTLE_SECONDS: typing.Final = 45.0
+CALL_SECONDS: typing.Final = 3.0
+SUBMIT_SECONDS: typing.Final = 15.0
+POLL_SECONDS: typing.Final = 0.3
+HEARTBEAT_SECONDS: typing.Final = 1.0
+# Faults of the leader show more than those of other daemons.
+LEADER_SHARE: typing.Final = 0.6
+ROOM: typing.Final = spec.Room(8000, 8000, 4)
+
+
+def _free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return probe.getsockname()[1]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """:param seconds: how long faults and new jobs come."""
+
+    seed: int
+    seconds: float
+    daemons: int = 3
+    workers: int = 6
+    jobs_per_second: float = 2.0
+    fault_pause: float = 1.2
+
+
+class Daemon:
+    """One daemon process and the relay on its way to the store."""
+
+    def __init__(self, name: str, directory: pathlib.Path) -> None:
+        self.name = name
+        self.callers = (HOST, _free_port())
+        self.exits: list[int] = []
+        self.stopping = False
+        self._ready = (HOST, _free_port())
+        self._peers = _free_port()
+        self._directory = directory
+        self._process: subprocess.Popen[bytes] | None = None
+        self.relay: relays.Relay | None = None
+        self.log_path = directory / f'{name}.log'
+
+    async def open_relay(self, store: tuple[str, int]) -> None:
+        self.relay = relays.Relay(store)
+        listener = curio.socket.socket()
+        listener.bind((HOST, 0))
+        listener.listen(256)
+        self._store = listener.getsockname()
+        await curio.spawn(relays.accept, self.relay, listener, daemon=True)
+
+    def start(self) -> None:
+        settings = {
+            'nodeName': self.name,
+            'ip': HOST,
+            'zone': self.name,
+            'bindAddrs': {
+                'front': f'{HOST}:{self.callers[1]}',
+                'ready': f'{HOST}:{self._ready[1]}',
+            },
+            'internalPorts': [self._peers, self._peers],
+            'platform': {
+                'address': f'{HOST}:{self._store[1]}',
+                'minTtlMs': 1000,
+            },
+        }
+        path = self._directory / f'{self.name}.json'
+        path.write_bytes(msgspec.json.encode(settings))
+        environment = {
+            'PATH': os.environ['PATH'],
+            'PYTHONPATH': os.pathsep.join(sys.path),
+            'NUTMEGWORKS_BOOT': str(path),
+        }
+        with self.log_path.open('ab') as log:
+            self._process = subprocess.Popen(
+                [sys.executable, '-m', 'nutmegworks.daemon.fleet'],
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        if self._process is not None and self._process.poll() is None:
+            self._process.send_signal(number)
+
+    def reap(self) -> bool:
+        """Return whether the process has ended; note its exit code."""
+        if self._process is None or self._process.poll() is None:
+            return False
+        self.exits.append(self._process.returncode)
+        self._process = None
+        return True
+
+    async def keep_running(self) -> None:
+        """Start the process anew whenever it ends, as the platform does."""
+        while True:
+            if self.reap():
+                await curio.sleep(0.3)
+                self.start()
+            await curio.sleep(0.1)
+
+
+class Soak:
+    """One run."""
+
+    def __init__(self, plan: Plan, directory: pathlib.Path) -> None:
+        self._plan = plan
+        self._rng = random.Random(plan.seed)
+        self.witness = witnesses.Witness()
+        self._store = platform.StoreStandIn()
+        gangs = platform.Gangs()
+        self._workers = [
+            platform.WorkerStandIn(f'w{number}', ROOM, self.witness, gangs)
+            for number in range(plan.workers)
+        ]
+        self._daemons = [
+            Daemon(f'host-{number}', directory)
+            for number in range(plan.daemons)
+        ]
+        self._pool = pool.Pool()
+        self._address_by_worker: dict[str, str] = {}
+        self._callers: list[curio.Task] = []
+        self._faults = {
+            'kill': self._kill,
+            'term': self._terminate,
+            'pause': self._pause,
+            'cut': self._disturb_link,
+            'store-down': self._store_down,
+            'store-slow': self._store_slow,
+            'store-loses': self._store_loses,
+            'history': self._drop_history,
+            'worker-silent': self._silence_worker,
+            'worker-crash': self._crash_worker,
+        }
+        self.played: list[str] = []
+
+    async def run(self) -> list[str]:
+        """Return the promises that were broken."""
+        for task in (self._store.expire_leases, self._heartbeats):
+            await curio.spawn(task, daemon=True)
+        store = server.Server(self._store.handle)
+        await store.start(HOST, 0)
+        for worker in self._workers:
+            service = server.Server(worker.handle)
+            await service.start(HOST, 0)
+            self._address_by_worker[worker.worker_id
+                                    ] = f'{HOST}:{service.address[1]}'
+            await curio.spawn(worker.run, daemon=True)
+        self._configure()
+        for daemon in self._daemons:
+            await daemon.open_relay(store.address)
+            daemon.start()
+            await curio.spawn(daemon.keep_running, daemon=True)
+        try:
+            await self._wait_for_daemons()
+            load = await curio.spawn(self._load)
+            faults = await curio.spawn(self._play_faults)
+            await faults.join()
+            await load.join()
+            await self._settle()
+            self.witness.finish()
+        finally:
+            for daemon in self._daemons:
+                daemon.send(signal.SIGCONT)
+                daemon.send(signal.SIGKILL)
+        return self.witness.broken
+
+    def _configure(self) -> None:
+        document = {
+            'version':
+            1,
+            'routes': [
+                {
+                    'name': f'q{priority}',
+                    'hostname': QUEUE_HOST,
+                    'prefix': f'{PREFIX}{priority}/',
+                    'service': witnesses.SERVICE,
+                    'priority': priority,
+                    'maxAttempts': 3,
+                    'stretch': 3.0,
+                    'targetLatencyMs': 1000,
+                } for priority in (0, 1)
+            ],
+            'services': [{
+                'name': witnesses.SERVICE
+            }],
+            'tenants': [{
+                'name': 'north',
+                'apiKeys': [KEY]
+            }],
+        }
+        self._store.store.put('op/config', msgspec.json.encode(document))
+
+    async def _heartbeats(self) -> None:
+        while True:
+            for worker in self._workers:
+                key = f'servers/{worker.worker_id}'
+                address = self._address_by_worker.get(worker.worker_id, '')
+                entry = worker.entry(address)
+                known = self._store.store.item_by_key.get(key)
+                changed = known is None or known.value != entry
+                if address and changed and not worker.silent:
+                    self._store.store.put(key, entry)
+            await curio.sleep(HEARTBEAT_SECONDS)
+
+    async def _wait_for_daemons(self) -> None:
+        until = time.monotonic() + START_SECONDS
+        for daemon in self._daemons:
+            while True:
+                answer = await self._call(daemon, 'GET', f'{PREFIX}1/', b'')
+                if answer is not None and answer.status == 200:
+                    break
+                if time.monotonic() > until:
+                    raise TimeoutError(f'{daemon.name} does not start')
+                await curio.sleep(0.2)
+
+    async def _call(
+        self,
+        daemon: Daemon,
+        method: str,
+        target: str,
+        body: bytes,
+    ) -> message.Response | None:
+        """Return the answer, None if there is none."""
+        request = message.Request(
+            method,
+            target,
+            {
+                'host': QUEUE_HOST,
+                'authorization': f'Bearer {KEY}',
+                'x-deadline-ms': str(int(CALL_SECONDS * 1000)),
+            },
+            body,
+        )
+        answer = await self._pool.exchange(
+            daemon.callers, request, timeout=CALL_SECONDS
+        )
+        if answer.is_err():
+            if answer.err_value.fault is client.Fault.CONNECT:
+                return message.Response(503)
+            return None
+        return answer.ok_value
+
+    async def _load(self) -> None:
+        until = time.monotonic() + self._plan.seconds
+        while time.monotonic() < until:
+            pause = self._rng.expovariate(self._plan.jobs_per_second)
+            await curio.sleep(min(2.0, pause))
+            self._callers.append(await curio.spawn(self._one_job))
+
+    def _job(self) -> bytes:
+        rng = self._rng
+        steps: list[dict[str, object]] = [
+            {
+                'count': rng.choice((1, 1, 2, 3, 5)),
+                'cpu': rng.choice((500, 1000, 2000)),
+                'memMb': 100,
+                'gpu': rng.choice((0, 1, 1, 2)),
+                'estimatedMs': rng.choice((300, 1500, 5000)),
+                'gang': rng.random() < 0.4,
+            }
+        ]
+        if rng.random() < 0.3:
+            steps.append(
+                {
+                    'count': 2,
+                    'cpu': 500,
+                    'gpu': 1,
+                    'after': [0],
+                    'estimatedMs': 300
+                }
+            )
+        payload = f'{rng.getrandbits(64):016x}'
+        return msgspec.json.encode({'spec': payload, 'steps': steps})
+
+    async def _one_job(self) -> None:
+        rng = self._rng
+        job_id = ids.JobId(f'{rng.getrandbits(64):016x}')
+        body = self._job()
+        target = f'{PREFIX}{rng.choice((0, 1, 1))}/{job_id}'
+        cancels = rng.random() < 0.15
+        view = self.witness.submit(job_id, body)
+        until = time.monotonic() + SUBMIT_SECONDS
+        while time.monotonic() < until and not view.accepted:
+            daemon = rng.choice(self._daemons)
+            answer = await self._call(daemon, 'POST', target, body)
+            if answer is None or answer.status in (502, 504):
+                view.uncertain = True
+            elif answer.status == 200:
+                view.accepted = True
+            else:
+                await curio.sleep(POLL_SECONDS)
+        if cancels and view.accepted:
+            await curio.sleep(rng.uniform(0, 1.5))
+            await self._cancel(view, target)
+        while view.accepted and not self._is_over(view):
+            answer = await self._call(
+                rng.choice(self._daemons), 'GET', target, b''
+            )
+            if answer is not None and answer.status == 200:
+                state = msgspec.json.decode(answer.body)['state']
+                self.witness.shown(job_id, state)
+            elif answer is not None and answer.status == 410:
+                self.witness.broken.append(f'lost: {job_id} is not known')
+            await curio.sleep(POLL_SECONDS)
+
+    @staticmethod
+    def _is_over(view: witnesses.JobView) -> bool:
+        return bool({'succeeded', 'cancelled', 'failed'} & set(view.states))
+
+    async def _cancel(self, view: witnesses.JobView, target: str) -> None:
+        for daemon in self._daemons:
+            # The cancel may take effect without an answer.
+            view.cancelled_at = time.monotonic()
+            answer = await self._call(daemon, 'DELETE', target, b'')
+            if answer is not None and answer.status == 200:
+                view.cancelled_at = time.monotonic()
+                return
+
+    async def _play_faults(self) -> None:
+        until = time.monotonic() + self._plan.seconds
+        names = sorted(self._faults)
+        running = []
+        while time.monotonic() < until:
+            await curio.sleep(
+                self._rng.uniform(0.3, 2 * self._plan.fault_pause)
+            )
+            name = self._rng.choice(names)
+            self.played.append(name)
+            running.append(await curio.spawn(self._faults[name]))
+        for task in running:
+            await task.join()
+
+    async def _settle(self) -> None:
+        until = time.monotonic() + SETTLE_SECONDS
+        for task in self._callers:
+            left = max(0.1, until - time.monotonic())
+            if await curio.ignore_after(left, task.wait) is None:
+                await task.cancel()
+            if task.exception is not None:
+                raise task.exception
+            await task.join()
+
+    def _daemon(self) -> Daemon:
+        """Return the leader half of the time, else any daemon."""
+        chosen = self._rng.choice(self._daemons)
+        if self._rng.random() < LEADER_SHARE:
+            item = self._store.store.item_by_key.get(records.LEADER_KEY)
+            if item is not None:
+                leader = msgspec.json.decode(item.value, type=records.Leader)
+                by_name = {daemon.name: daemon for daemon in self._daemons}
+                return by_name[leader.member]
+        return chosen
+
+    async def _kill(self) -> None:
+        self._daemon().send(signal.SIGKILL)
+
+    async def _terminate(self) -> None:
+        self._daemon().send(signal.SIGTERM)
+
+    async def _pause(self) -> None:
+        daemon = self._daemon()
+        daemon.send(signal.SIGSTOP)
+        await curio.sleep(self._rng.uniform(0.5, 4.0))
+        daemon.send(signal.SIGCONT)
+
+    async def _disturb_link(self) -> None:
+        relay = self._daemon().relay
+        assert relay is not None
+        modes = [mode for mode in relays.Mode if mode is not relays.Mode.PASS]
+        relay.set_mode(self._rng.choice(modes))
+        await curio.sleep(self._rng.uniform(0.5, 4.0))
+        relay.set_mode(relays.Mode.PASS)
+
+    async def _store_down(self) -> None:
+        self._store.store.down = True
+        await curio.sleep(self._rng.uniform(0.3, 3.0))
+        self._store.store.down = False
+
+    async def _store_slow(self) -> None:
+        self._store.slow = 0.2
+        await curio.sleep(self._rng.uniform(0.5, 3.0))
+        self._store.slow = 0.0
+
+    async def _store_loses(self) -> None:
+        self._store.lose = 3
+        await curio.sleep(self._rng.uniform(0.5, 3.0))
+        self._store.lose = 0
+
+    async def _drop_history(self) -> None:
+        self._store.store.deaf = True
+        await curio.sleep(1.0)
+        self._store.store.drop_history()
+        self._store.store.deaf = False
+
+    async def _silence_worker(self) -> None:
+        worker = self._rng.choice(self._workers)
+        worker.silent = True
+        await curio.sleep(self._rng.uniform(0.5, 6.0))
+        worker.silent = False
+
+    async def _crash_worker(self) -> None:
+        self._rng.choice(self._workers).restart()
+
+
+def play(plan: Plan, directory: pathlib.Path) -> Soak:
+    """Run once; the daemons' logs are in the directory."""
+    soak = Soak(plan, directory)
+    curio.run(soak.run)
+    return soak
+
+
+def main(seed: int = 1, seconds: float = 30.0, out: str = '') -> None:
+    """Play one seed; exit 1 if a promise was broken."""
+    with contextlib.ExitStack() as stack:
+        made = stack.enter_context(tempfile.TemporaryDirectory())
+        directory = pathlib.Path(out or made)
+        directory.mkdir(parents=True, exist_ok=True)
+        soak = play(Plan(seed, seconds), directory)
+        jobs = soak.witness.jobs_by_id.values()
+        accepted = sum(view.accepted for view in jobs)
+        print(
+            f'seed {seed}: {len(jobs)} jobs, {accepted} accepted, '
+            f'{soak.witness.starts} starts, faults {soak.played}'
+        )
+        for line in soak.witness.broken:
+            print(line)
+        raise SystemExit(1 if soak.witness.broken else 0)
+
+
+if __name__ == '__main__':
+    typer.run(main)
+
+__all__ = ('Plan', 'Soak', 'main', 'play')
