soak: no port is given twice

The logs show host-1 failing to bind its port for clients, 38705, which was also host-2's port for readiness checks: free_port asked the kernel twice and got the same port, as the first probe was closed already. The readiness check answered the client. Ruled out: an answer cut short by a daemon (the call never reached one). Change: ports are remembered, and lie below those of outgoing connections. The new test fails for the kernel's choice.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -11,6 +11,7 @@
 import os
 import pathlib
 import random
+import secrets
 import signal
 import socket
 import subprocess
@@ -51,11 +52,24 @@
 LEADER_SHARE: typing.Final = 0.6
 ROOM: typing.Final = spec.Room(8000, 8000, 4)
 
+# Below the ports that the kernel gives to outgoing connections: one of these
+# could take a daemon's port while the daemon is down.
+PORTS: typing.Final = range(20_000, 32_000)
+_TAKEN: typing.Final[set[int]] = set()
 
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+
+def free_port() -> int:
+    """Return a port that no other call returned; seed 80 met a double one."""
+    while True:
+        port = secrets.choice(PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        if port not in _TAKEN:
+            _TAKEN.add(port)
+            return port
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,11 +89,11 @@
 
     def __init__(self, name: str, directory: pathlib.Path) -> None:
         self.name = name
-        self.callers = (HOST, _free_port())
+        self.callers = (HOST, free_port())
         self.exits: list[int] = []
         self.stopping = False
-        self._ready = (HOST, _free_port())
-        self._peers = _free_port()
+        self._ready = (HOST, free_port())
+        self._peers = free_port()
         self._directory = directory
         self._process: subprocess.Popen[bytes] | None = None
         self.relay: relays.Relay | None = None
@@ -475,4 +489,4 @@
 if __name__ == '__main__':
     typer.run(main)
 
-__all__ = ('Plan', 'Soak', 'main', 'play')
+__all__ = ('PORTS', 'Plan', 'Soak', 'free_port', 'main', 'play')
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -28,6 +28,13 @@
     assert soak.witness.starts > 10
 
 
+def test_ports_are_never_given_twice() -> None:
+    """Seed 80: a readiness check answered a client's call with 200."""
+    ports = [run.free_port() for _ in range(500)]
+    assert len(set(ports)) == 500
+    assert set(ports) <= set(run.PORTS)
+
+
 def _witness(**step: object) -> witnesses.Witness:
     made = witnesses.Witness()
     body = {
