--- a/src/nutmegworks/bench/fleetexperiment.py
+++ b/src/nutmegworks/bench/fleetexperiment.py
@@ -170,13 +170,13 @@
     seeds: int = 20,
     first_seed: int = 1,
     factor: float = 1.0,
-    change: typing.Annotated[list[str],
-                             typer.Option('--set')] = [],  # noqa: B006
+    change: typing.Annotated[typing.Optional[list[str]],
+                             typer.Option('--set')] = None,
     processes: int = 2,
 ) -> None:
     """Print the mean outcome of a pattern over seeds."""
     try:
-        changes = [parse_change(text) for text in change]
+        changes = [parse_change(text) for text in change or ()]
     except ValueError as error:
         raise typer.BadParameter(str(error)) from error
     numbers = range(first_seed, first_seed + seeds)
