claims: a late copy of a forwarded claim no longer blocks its key

Cause: a retry forwards its claim to the preferred daemon of the shard. If that daemon is paused, the forward times out and the retry writes the claim itself, is told that the first attempt holds the key, and releases the attempt of the forwarded copy, which is not stored yet. After its resumption the paused daemon ends the first attempt and then applies the forwarded copy. The key is then held by an attempt that nobody sends, and the retry is told may-have-run. It failed each time the preferred daemon of the key was the paused one; the key contains the time, so it looked random. Ruled out: the pause itself and the load. Change: a request keeps one attempt id, so a copy that is stored late counts as its own claim (claim_or_wait replaces claim and wait_for_outcome in the filter). An abandoned claim is released again for 31 s. IN_PROGRESS from a cached record older than 0.1 s is read again: the second new test showed that it could be out of date.

--- a/src/nutmegworks/claims/batcher.py
+++ b/src/nutmegworks/claims/batcher.py
@@ -23,8 +23,9 @@
 WRITE_BURST: typing.Final = 2
 # Outcomes can be delayed into larger batches, as no caller waits for them.
 FINISH_DELAY_SECONDS: typing.Final = 0.1
-# Maximum age of a cached record for a look-up. It bounds the store reads of
-# retries that poll for an outcome.
+# Maximum age of a cached record for a look-up, or for the reply that another
+# attempt holds a key. It bounds the store reads of retries that poll for an
+# outcome.
 LOOK_UP_MAX_AGE_SECONDS: typing.Final = 0.1
 # Delay before an outcome that the store did not accept is written again.
 STORE_RETRY_SECONDS: typing.Final = 1.0
@@ -243,7 +244,8 @@
             return True
         updated, replies = _apply(cached.value, batch)
         if updated is cached.value:
-            if was_cached and _needs_reread(replies):
+            age = self._clock() - cached.read_at
+            if was_cached and _needs_reread(replies, age):
                 self._cached_by_slot.pop(slot, None)
                 return False
             await _send_replies(batch, replies)
@@ -351,8 +353,17 @@
     return updated, replies
 
 
-def _needs_reread(replies: list[record.Reply]) -> bool:
-    return any(reply.status in _REREAD_STATUSES for reply in replies)
+def _needs_reread(replies: list[record.Reply], age: float) -> bool:
+    """Return whether replies from a cached record may be out of date.
+
+    :param age: seconds since the record was read.
+    """
+    if any(reply.status in _REREAD_STATUSES for reply in replies):
+        return True
+    # Another daemon may have stored the end of the attempt that held the key.
+    return age > LOOK_UP_MAX_AGE_SECONDS and any(
+        reply.status is record.Status.IN_PROGRESS for reply in replies
+    )
 
 
 async def _send_replies(
--- a/src/nutmegworks/claims/replies.py
+++ b/src/nutmegworks/claims/replies.py
@@ -135,6 +135,15 @@
     return existing is not None and existing.state is record.State.DID_NOT_RUN
 
 
+def is_held_by(reply: record.Reply, attempt_id: str) -> bool:
+    """Return whether an attempt holds the key."""
+    existing = reply.claim
+    return (
+        existing is not None and existing.state is record.State.CLAIMED
+        and existing.attempt_id == attempt_id
+    )
+
+
 def is_final(reply: record.Reply) -> bool:
     """Return whether polling for an outcome can end."""
     return reply.status in (record.Status.FINISHED, record.Status.EXPIRED)
@@ -154,6 +163,7 @@
     'epoch_ahead',
     'is_final',
     'is_free',
+    'is_held_by',
     'is_other_body',
     'refusal',
     'with_write_sent',
--- a/src/nutmegworks/claims/service.py
+++ b/src/nutmegworks/claims/service.py
@@ -28,7 +28,16 @@
 ANSWER_TIMEOUT_SECONDS: typing.Final = 2.0
 # Intervals at which a retry polls for an outcome; the last one is repeated.
 POLL_INTERVALS_SECONDS: typing.Final = (0.1, 0.2, 0.4, 0.8, 1.0)
-
+# Intervals at which an abandoned claim is released again, as long as it is not
+# stored. A daemon that was paused may still write it.
+RELEASE_INTERVALS_SECONDS: typing.Final = (1.0, 2.0, 4.0, 8.0, 16.0)
+
+# Replies to a release after which the claim can't hold its key any more.
+_RELEASED_STATUSES: typing.Final = (
+    record.Status.DONE,
+    record.Status.ATTEMPT_OVER,
+    record.Status.EXPIRED,
+)
 _LOCAL_RETRY_STATUSES: typing.Final = (
     record.Status.STORE_UNAVAILABLE,
     record.Status.OVERLOADED,
@@ -52,6 +61,22 @@
 Outcome = result.Result[Granted | Finished, verdict.Refusal]
 
 
+@dataclasses.dataclass(slots=True)
+class _Attempt:
+    """The attempt of one request and what is known of its claim.
+
+    :param operation: claims the key. It is repeated with the same attempt id,
+        so that a copy which arrives late claims for the same attempt.
+    :param may_be_stored: whether the claim may be stored or may still be
+        written, by this daemon or by the one to which it was forwarded.
+    :param granted: whether the attempt is known to hold the key.
+    """
+
+    operation: record.ClaimOperation
+    may_be_stored: bool = False
+    granted: bool = False
+
+
 class ClaimService:
     """Makes the at-most-once claims of one daemon.
 
@@ -115,11 +140,14 @@
         parsed = self._parse(key, team_id, attempt_number)
         if isinstance(parsed, result.Err):
             return parsed
-        return await self._claim(
-            parsed.ok_value, body_digest, attempt_number, timeout
-        )
+        attempt = _new_attempt(parsed.ok_value, body_digest, attempt_number)
+        try:
+            reply = await self._submit_claim(attempt, timeout)
+            return await self._to_outcome(reply, attempt.operation)
+        finally:
+            await self._release_unless_granted(attempt)
 
-    async def wait_for_outcome(
+    async def claim_or_wait(
         self,
         key: str,
         team_id: ids.TeamId,
@@ -128,9 +156,9 @@
         attempt_number: int,
         timeout: float,
     ) -> Outcome:
-        """Wait for the outcome of a key that another attempt holds.
+        """Claim a key, or wait for the outcome of the attempt that holds it.
 
-        If the other attempt did not run, the key is claimed for a new one.
+        If the other attempt did not run, the key is claimed for this one.
 
         :param attempt_number: as for ``claim``.
         :param timeout: seconds until the caller's deadline.
@@ -139,27 +167,47 @@
         if isinstance(parsed, result.Err):
             return parsed
         deadline = self._clock() + timeout
+        attempt = _new_attempt(parsed.ok_value, body_digest, attempt_number)
+        try:
+            reply = await self._submit_claim(
+                attempt, min(timeout, CLAIM_TIMEOUT_SECONDS)
+            )
+            if reply.status is record.Status.IN_PROGRESS:
+                reply = await self._poll(attempt, deadline)
+            return await self._to_outcome(reply, attempt.operation)
+        finally:
+            await self._release_unless_granted(attempt)
+
+    async def _poll(self, attempt: _Attempt, deadline: float) -> record.Reply:
+        """Look the key up until its outcome is known or it can be claimed.
+
+        :param deadline: seconds on this service's clock.
+        :return: IN_PROGRESS if another attempt holds the key until then.
+        """
+        operation = attempt.operation
         intervals = iter(POLL_INTERVALS_SECONDS)
         while True:
             remaining = deadline - self._clock()
             if remaining <= POLL_INTERVALS_SECONDS[0]:
-                return result.Err(replies.IN_PROGRESS)
+                return record.Reply(record.Status.IN_PROGRESS)
             interval = min(
                 next(intervals, POLL_INTERVALS_SECONDS[-1]), remaining / 2
             )
             await curio.sleep(interval)
-            reply = await self._look_up(parsed.ok_value, remaining - interval)
-            if replies.is_other_body(reply, body_digest):
-                return result.Err(replies.KEY_REUSED)
+            reply = await self._look_up(operation, remaining - interval)
+            if replies.is_other_body(reply, operation.body_digest):
+                return record.Reply(record.Status.KEY_REUSED, reply.claim)
+            if replies.is_held_by(reply, operation.attempt_id):
+                # Another daemon has written the claim after its reply to this
+                # one had been given up.
+                attempt.granted = True
+                return record.Reply(record.Status.GRANTED)
             if replies.is_free(reply):
-                return await self._claim(
-                    parsed.ok_value,
-                    body_digest,
-                    attempt_number,
-                    remaining - interval,
-                )
-            if replies.is_final(reply):
-                return await self._to_outcome(reply, '', attempt_number)
+                reply = await self._submit_claim(attempt, remaining - interval)
+                if reply.status is not record.Status.IN_PROGRESS:
+                    return reply
+            elif replies.is_final(reply):
+                return reply
 
     async def finish(
         self,
@@ -230,37 +278,18 @@
             return result.Err(replies.epoch_ahead(attempt_number))
         return parsed
 
-    async def _claim(
+    async def _submit_claim(
         self,
-        key: claim_key.Key,
-        body_digest: bytes,
-        attempt_number: int,
+        attempt: _Attempt,
         timeout: float,
-    ) -> Outcome:
-        # Each call has a new attempt id. Otherwise the release of one call
-        # could end the claim of the next one while its attempt runs.
-        operation = record.ClaimOperation(
-            key.epoch,
-            key.shard,
-            key.key_id,
-            secrets.token_hex(16),
-            body_digest,
-            attempt_number,
-        )
-        if not record.is_valid(operation):
-            raise ValueError(
-                'the body digest or the attempt number is out of bounds'
-            )
-        try:
-            reply = await self._submit(operation, timeout)
-        except curio.CancelledError:
-            await self._release(operation)
-            raise
-        if reply.write_sent and reply.status is not record.Status.GRANTED:
-            await self._release(operation)
-        return await self._to_outcome(
-            reply, operation.attempt_id, attempt_number
-        )
+    ) -> record.Reply:
+        may_be_stored = attempt.may_be_stored
+        # Remains so if this call is cancelled.
+        attempt.may_be_stored = True
+        reply = await self._submit(attempt.operation, timeout)
+        attempt.may_be_stored = may_be_stored or reply.write_sent
+        attempt.granted = reply.status is record.Status.GRANTED
+        return reply
 
     async def _submit(
         self,
@@ -301,15 +330,20 @@
 
     async def _look_up(
         self,
-        key: claim_key.Key,
+        claimed: record.ClaimOperation,
         timeout: float,
     ) -> record.Reply:
-        operation = record.LookUpOperation(key.epoch, key.shard, key.key_id)
-        local = self._batcher_by_shard[key.shard]
+        operation = record.LookUpOperation(
+            claimed.epoch, claimed.shard, claimed.key_id
+        )
+        local = self._batcher_by_shard[claimed.shard]
         return await local.submit(operation, timeout=timeout)
 
-    async def _release(self, operation: record.ClaimOperation) -> None:
+    async def _release_unless_granted(self, attempt: _Attempt) -> None:
         """Release a claim that may be stored but whose attempt is not sent."""
+        if attempt.granted or not attempt.may_be_stored:
+            return
+        operation = attempt.operation
         release = record.FinishOperation(
             operation.epoch,
             operation.shard,
@@ -318,20 +352,29 @@
             record.State.DID_NOT_RUN,
         )
         await self._batcher_by_shard[operation.shard].enqueue(release)
+        await curio.spawn(self._repeat_release, release, daemon=True)
+
+    async def _repeat_release(self, release: record.FinishOperation) -> None:
+        """Release a claim that is stored after its first release."""
+        local = self._batcher_by_shard[release.shard]
+        for interval in RELEASE_INTERVALS_SECONDS:
+            await curio.sleep(interval)
+            reply = await local.submit(release, timeout=CLAIM_TIMEOUT_SECONDS)
+            if reply.status in _RELEASED_STATUSES:
+                return
 
     async def _to_outcome(
         self,
         reply: record.Reply,
-        attempt_id: str,
-        attempt_number: int,
+        operation: record.ClaimOperation,
     ) -> Outcome:
         if reply.status is record.Status.GRANTED:
-            return result.Ok(Granted(ids.AttemptId(attempt_id)))
+            return result.Ok(Granted(ids.AttemptId(operation.attempt_id)))
         existing = reply.claim
         ran = existing is not None and existing.state is record.State.RAN
         if reply.status is record.Status.FINISHED and ran:
             return await self._read_answer(existing)
-        return result.Err(replies.refusal(reply, attempt_number))
+        return result.Err(replies.refusal(reply, operation.attempt_number))
 
     async def _read_answer(self, existing: record.Claim) -> Outcome:
         if existing.answer is None:
@@ -344,6 +387,26 @@
         return result.Ok(Finished(answer.ok_value))
 
 
+def _new_attempt(
+    key: claim_key.Key,
+    body_digest: bytes,
+    attempt_number: int,
+) -> _Attempt:
+    operation = record.ClaimOperation(
+        key.epoch,
+        key.shard,
+        key.key_id,
+        secrets.token_hex(16),
+        body_digest,
+        attempt_number,
+    )
+    if not record.is_valid(operation):
+        raise ValueError(
+            'the body digest or the attempt number is out of bounds'
+        )
+    return _Attempt(operation)
+
+
 __all__ = (
     'ANSWER_TIMEOUT_SECONDS',
     'CLAIM_TIMEOUT_SECONDS',
@@ -353,4 +416,5 @@
     'Granted',
     'Outcome',
     'POLL_INTERVALS_SECONDS',
+    'RELEASE_INTERVALS_SECONDS',
 )
--- a/src/nutmegworks/entry/claim.py
+++ b/src/nutmegworks/entry/claim.py
@@ -61,7 +61,13 @@
             )
         context.key = ids.IdempotencyKey(key)
         digest = body_digest(context)
-        claimed = await self._claim(context, key, digest)
+        claimed = await self._claims.claim_or_wait(
+            key,
+            context.team_id,
+            digest,
+            attempt_number=context.attempt_number,
+            timeout=context.deadline - self._clock(),
+        )
         context.claim_checked = True
         if isinstance(claimed, result.Err):
             return claimed
@@ -73,32 +79,6 @@
             context, proceed, key, claimed.ok_value.attempt_id
         )
 
-    async def _claim(
-        self,
-        context: entry_context.RequestContext,
-        key: str,
-        digest: bytes,
-    ) -> claim_service.Outcome:
-        remaining = context.deadline - self._clock()
-        claimed = await self._claims.claim(
-            key,
-            context.team_id,
-            digest,
-            attempt_number=context.attempt_number,
-            timeout=min(remaining, claim_service.CLAIM_TIMEOUT_SECONDS),
-        )
-        if isinstance(claimed, result.Ok):
-            return claimed
-        if claimed.err_value.reason is not verdict.Reason.IN_PROGRESS:
-            return claimed
-        return await self._claims.wait_for_outcome(
-            key,
-            context.team_id,
-            digest,
-            attempt_number=context.attempt_number,
-            timeout=context.deadline - self._clock(),
-        )
-
     async def _run(
         self,
         context: entry_context.RequestContext,
--- a/tests/claims/test_service.py
+++ b/tests/claims/test_service.py
@@ -7,6 +7,7 @@
 from nutmegworks.claims import answers
 from nutmegworks.claims import forwarder
 from nutmegworks.claims import key
+from nutmegworks.claims import preferred
 from nutmegworks.claims import record
 from nutmegworks.claims import service
 from nutmegworks.model import verdict
@@ -26,15 +27,28 @@
 
     :ivar lose_replies: whether the reply is lost after the other daemon has
         handled the operation.
+    :ivar paused: whether the other daemon handles operations only later, when
+        ``resume`` is called.
     """
 
     def __init__(self) -> None:
         self.service_by_id: dict = {}
         self.calls = 0
         self.lose_replies = False
+        self.paused = False
+        self._delayed: list = []
+
+    async def resume(self) -> None:
+        """Handle the operations that arrived during the pause."""
+        self.paused = False
+        for member_id, operation in self._delayed:
+            await self.service_by_id[member_id].serve(operation)
 
     async def forward(self, member_id, operation, *, timeout):
         self.calls += 1
+        if self.paused:
+            self._delayed.append((member_id, operation))
+            return result.Err(forwarder.ForwardError('timeout', sent=True))
         reply = await self.service_by_id[member_id].serve(operation)
         if self.lose_replies:
             return result.Err(forwarder.ForwardError('lost', sent=True))
@@ -74,7 +88,7 @@
 
 
 async def wait(daemon, body=BODY, timeout=2.0):
-    return await daemon.wait_for_outcome(
+    return await daemon.claim_or_wait(
         KEY, 'north', body, attempt_number=2, timeout=timeout
     )
 
@@ -165,7 +179,7 @@
     run(scenario)
 
 
-def test_wait_for_outcome_bounds_time_and_store_reads() -> None:
+def test_claim_or_wait_bounds_time_and_store_reads() -> None:
     """Many retries of a slow request must not exceed the read limit."""
 
     async def scenario(backing, messages, one, two) -> None:
@@ -183,6 +197,59 @@
     run(scenario)
 
 
+def _order_by_preference(one, two):
+    """Return the preferred daemon of the key, then the other one."""
+    shard = key.parse(KEY, 'north').unwrap().shard
+    first = preferred.choose(shard, ('d0', 'd1'))
+    return (one, two) if first == 'd0' else (two, one)
+
+
+def test_retry_gets_a_claim_that_a_paused_daemon_stored_late() -> None:
+    """A retry must not be locked out by a late copy of its own claim.
+
+    It is forwarded to a paused daemon, which stores it after it has resumed
+    and ended the first attempt.
+    """
+
+    async def scenario(backing, messages, one, two) -> None:
+        paused, other = _order_by_preference(one, two)
+        granted = await claim(paused)
+        messages.paused = True
+        retry = await curio.spawn(lambda: wait(other, BODY, 4.0))
+        await curio.sleep(0.3)
+        assert await finish(paused, granted, record.State.DID_NOT_RUN)
+        await messages.resume()
+        outcome = await retry.join()
+        assert isinstance(outcome.ok_value, service.Granted)
+
+    run(scenario, forwarding=True)
+
+
+def test_claim_that_is_stored_after_its_release_is_released_again(
+    monkeypatch,
+) -> None:
+    """A claim that a paused daemon stores late must not block its key.
+
+    Its caller has already been refused, and its first release found nothing.
+    """
+    monkeypatch.setattr(service, 'RELEASE_INTERVALS_SECONDS', (0.2, 0.2, 0.2))
+
+    async def scenario(backing, messages, one, two) -> None:
+        paused, other = _order_by_preference(one, two)
+        granted = await claim(paused)
+        messages.paused = True
+        refused = await claim(other, first=False)
+        assert refused.err_value.verdict is MAY_HAVE_RUN
+        await curio.sleep(0.15)
+        assert await finish(paused, granted, record.State.DID_NOT_RUN)
+        await messages.resume()
+        await curio.sleep(0.5)
+        outcome = await other.claim(KEY, 'north', BODY, attempt_number=3)
+        assert isinstance(outcome.ok_value, service.Granted)
+
+    run(scenario, forwarding=True)
+
+
 def test_paused_holder_and_reused_slot() -> None:
     """A retry after an hour must not run while a paused holder resumes.
 
--- a/tests/claims/test_service_over_http.py
+++ b/tests/claims/test_service_over_http.py
@@ -45,7 +45,7 @@
 
 
 async def outcome(daemon, name):
-    return await daemon.wait_for_outcome(
+    return await daemon.claim_or_wait(
         f'{EPOCH}-{name}', 'north', BODY, attempt_number=2, timeout=5.0
     )
 
