tests: trials of dying owners use longer leases in a process that is late

Cause: 30 concurrent trials in one process have leases of 1.2 s. Beside load their renewals come later than that, and a starved owner's lease ends, which the contract allows. Traced with a meter of late timers: in each of 7 failed passes of 8 processes side by side, timers were 0.33 to 0.52 s late, more than the lease margin of 0.3 s. Ruled out: a fault of the takeover; with leases three times as long all 8 pass in the same processes. Change: a failed test is repeated once with three times the leases, and only if timers of its process were later than the margin; a failure without that still fails. The checks of each trial are the same. The first failure of a group is now the one that is reported, not a cancelled trial.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import contextlib
+import time
 import typing
 
 import curio
@@ -10,6 +11,7 @@
 from nutmegworks.net import server
 
 RUN_TIMEOUT_SECONDS: typing.Final = 60.0
+LAG_INTERVAL_SECONDS: typing.Final = 0.05
 
 
 @contextlib.asynccontextmanager
@@ -36,4 +38,21 @@
     curio.run(run_with_timeout)
 
 
-__all__ = ('run', 'serving')
+class LagMeter:
+    """Measures by how much this process's timers fire late.
+
+    :ivar worst: longest delay so far, in seconds.
+    """
+
+    def __init__(self) -> None:
+        self.worst = 0.0
+
+    async def run(self) -> None:
+        """Measure until cancelled."""
+        while True:
+            due = time.monotonic() + LAG_INTERVAL_SECONDS
+            await curio.sleep(LAG_INTERVAL_SECONDS)
+            self.worst = max(self.worst, time.monotonic() - due)
+
+
+__all__ = ('LagMeter', 'run', 'serving')
--- a/tests/jobs/test_controller.py
+++ b/tests/jobs/test_controller.py
@@ -1,5 +1,8 @@
 from __future__ import annotations
 
+import functools
+import typing
+
 import curio
 import pytest
 
@@ -27,6 +30,11 @@
 BOUND_SECONDS = (
     RUNNING_LEASE_SECONDS + RENEW_INTERVAL_SECONDS + fakes.CALL_SECONDS + 0.5
 )
+# Leases in multiples of the usual ones. The longer ones are used only if the
+# timers of this process were later than LEASE_MARGIN_SECONDS, since leases
+# may then end although their owner is healthy.
+LEASE_FACTORS = (1, 3)
+LEASE_MARGIN_SECONDS = 0.3
 # Number of calls that an owner makes for a gang of two members, up to their
 # release.
 CALLS_PER_GANG = 15
@@ -35,22 +43,60 @@
 @pytest.fixture(autouse=True)
 def short_intervals(monkeypatch: pytest.MonkeyPatch) -> None:
     """Shorten leases and intervals."""
-    monkeypatch.setattr(gang, 'STAGED_LEASE_SECONDS', STAGED_LEASE_SECONDS)
-    monkeypatch.setattr(gang, 'RUNNING_LEASE_SECONDS', RUNNING_LEASE_SECONDS)
-    monkeypatch.setattr(gang, 'RENEW_INTERVAL_SECONDS', RENEW_INTERVAL_SECONDS)
-    monkeypatch.setattr(gang, 'LEASE_MARGIN_SECONDS', 0.3)
+    set_leases(monkeypatch, 1)
     monkeypatch.setattr(worker_monitor, 'POLL_INTERVAL_SECONDS', 0.05)
     monkeypatch.setattr(runner, 'RESEND_DELAY_SECONDS', 0.02)
     monkeypatch.setattr(controller, 'TICK_SECONDS', 0.05)
     monkeypatch.setattr(shard_records, 'RETRY_SECONDS', 0.05)
 
 
+def set_leases(monkeypatch: pytest.MonkeyPatch, factor: int) -> None:
+    """Set leases of members to multiples of the usual ones of these tests."""
+    for name, seconds in (
+        ('STAGED_LEASE_SECONDS', STAGED_LEASE_SECONDS),
+        ('RUNNING_LEASE_SECONDS', RUNNING_LEASE_SECONDS),
+        ('RENEW_INTERVAL_SECONDS', RENEW_INTERVAL_SECONDS),
+        ('LEASE_MARGIN_SECONDS', LEASE_MARGIN_SECONDS),
+    ):
+        monkeypatch.setattr(gang, name, factor * seconds)
+
+
+def run_with_sufficient_leases(
+    monkeypatch: pytest.MonkeyPatch,
+    main: typing.Callable[[int], typing.Awaitable[None]],
+) -> None:
+    """Run a test, and again with longer leases if it failed in a late process.
+
+    :param main: takes the factor of the leases.
+    """
+    for factor in LEASE_FACTORS:
+        set_leases(monkeypatch, factor)
+        meter = helpers.LagMeter()
+
+        async def run(factor=factor, meter=meter) -> None:
+            await curio.spawn(meter.run, daemon=True)
+            await main(factor)
+
+        try:
+            helpers.run(run)
+        except AssertionError:
+            was_late = meter.worst > factor * LEASE_MARGIN_SECONDS
+            if not was_late or factor == LEASE_FACTORS[-1]:
+                raise
+        else:
+            return
+
+
 async def run_at_every_call(trial) -> None:
     """Run concurrent trials that halt before and after every call."""
     async with curio.TaskGroup() as group:
         for call_number in range(1, CALLS_PER_GANG + 1):
             for after_call in (False, True):
                 await group.spawn(trial, call_number, after_call)
+    for error in group.exceptions:
+        # The group cancels the other trials after the first failure.
+        if isinstance(error, AssertionError):
+            raise error
     assert len(group.results) == 2 * CALLS_PER_GANG
 
 
@@ -83,6 +129,7 @@
     idempotent: bool,
     late_takeover: bool,
     real_scheduler: bool,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """A new owner must complete a start or roll it back completely.
 
@@ -90,7 +137,7 @@
     later one may run a job again only if it is idempotent.
     """
 
-    async def trial(call_number: int, after_call: bool) -> None:
+    async def trial(factor: int, call_number: int, after_call: bool) -> None:
         async with fakes.serve_cluster() as cluster:
             halt_point = fakes.HaltPoint(call_number, after_call=after_call)
             first = await cluster.start_owner(
@@ -101,15 +148,20 @@
                 await halt_point.halted.wait()
             await first.kill()
             if late_takeover:
-                await curio.sleep(STAGED_LEASE_SECONDS + 0.1)
+                await curio.sleep(factor * STAGED_LEASE_SECONDS + 0.1)
             await cluster.start_owner(2, real_scheduler=real_scheduler)
             view = await cluster.wait_until_ended(job_id)
             assert view.state is STATE.DONE or (
                 late_takeover and not idempotent
             )
-            await fakes.check_invariants(cluster, size=2, bound=BOUND_SECONDS)
+            await fakes.check_invariants(
+                cluster, size=2, bound=factor * BOUND_SECONDS
+            )
 
-    helpers.run(lambda: run_at_every_call(trial))
+    run_with_sufficient_leases(
+        monkeypatch,
+        lambda factor: run_at_every_call(functools.partial(trial, factor)),
+    )
 
 
 @pytest.mark.parametrize('idempotent', [True, False])
