fleet: the lease of a silent worker ends

Cause: each unanswered renewal asked for a new lease end and raised the one that the leader waits for, so the lease of a worker that never answers again never ended. Change: while the last request to a worker is unanswered, renewals and starts repeat the last lease end, and the worker gets no work. They are lost at once if the entry names a later start ("it then holds and knows nothing of before") or another worker answers at the address ("any other incarnation responds with 421"). A removed entry proves nothing: the store removes entries of workers that are only cut off from it. Ruled out: giving up on the removal of the entry (test of a cut-off worker).

--- a/src/nutmegworks/fleet/interfaces.py
+++ b/src/nutmegworks/fleet/interfaces.py
@@ -195,9 +195,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallError:
-    """A worker gave no usable answer; the request may still take effect."""
+    """A worker gave no usable answer; the request may still take effect.
+
+    :param replaced: another worker answered at the address, so the intended
+        incarnation has ended.
+    """
 
     detail: str
+    replaced: bool = False
 
 
 class WorkerClient(abc.ABC):
--- a/src/nutmegworks/fleet/leader.py
+++ b/src/nutmegworks/fleet/leader.py
@@ -175,10 +175,26 @@
         reregistered = not worker.registered
         worker.registered = True
         worker.entry = entry
+        self._lose_earlier_incarnations(worker)
         if reregistered and not worker.runs_by_key:
             await self._open_session(worker)
         return entry.worker_id
 
+    def _lose_earlier_incarnations(self, worker: fleet_worker.Worker) -> None:
+        """Lose the runs of incarnations that ended before the entry's.
+
+        A worker that starts again under its id runs nothing of before.
+        """
+        started = worker.entry.incarnation
+        if worker.incarnation is not None and worker.incarnation < started:
+            worker.forget_clock()
+        ended = [
+            run for run in worker.runs_by_key.values()
+            if run.incarnation < started
+        ]
+        for run in ended:
+            self._state.lose_run(run, 'worker restarted')
+
 
 class Term:
     """Runs the controllers of one term of leadership.
--- a/src/nutmegworks/fleet/reports.py
+++ b/src/nutmegworks/fleet/reports.py
@@ -24,7 +24,7 @@
 
 
 class Reports(worker_session.Listener):
-    """Applies reports, ends of runs and expired leases."""
+    """Applies reports, ends of runs and losses of workers."""
 
     def __init__(
         self,
@@ -81,12 +81,17 @@
             if run.incarnation != report.incarnation:
                 self._state.lose_run(run, 'worker restarted')
 
-    def handle_lease_expiry(self, worker: fleet_worker.Worker) -> None:
+    async def handle_loss(
+        self,
+        worker: fleet_worker.Worker,
+        reason: str,
+    ) -> None:
         for run in list(worker.runs_by_key.values()):
-            self._state.lose_run(run, 'lease expired')
+            self._state.lose_run(run, reason)
         # Once it answers again, its lease is tracked from that answer.
-        worker.answered_at = None
+        worker.forget_clock()
         worker.prior_leases_expire_at = membership.steady_clock()
+        await self._state.notify()
 
     def _apply_status(
         self,
--- a/src/nutmegworks/fleet/worker.py
+++ b/src/nutmegworks/fleet/worker.py
@@ -58,12 +58,13 @@
     :param clock: the worker's clock in its last answer, received at
         ``clock_at``.
     :param lease_sent: latest lease end that a start request or a renewal
-        carried.
+        carried, whether or not it was answered.
     :param processed: number of the last end that was processed.
     :param acknowledged: number of the last end that is stored.
     :param paused_until: until then it gets no work, because it rejected a
         start request.
-    :param unanswered_at: when it last did not answer a start request.
+    :param unanswered_at: when it last did not answer a start request or a
+        renewal.
     """
 
     entry: workers.WorkerEntry
@@ -86,14 +87,27 @@
     def worker_id(self) -> ids.WorkerId:
         return self.entry.worker_id
 
+    @property
+    def silent(self) -> bool:
+        """Whether its last answer is older than an unanswered request."""
+        return (
+            self.answered_at is None or self.unanswered_at > self.answered_at
+        )
+
     def next_lease(self, now: float) -> int | None:
         """Return the lease end for a request that is sent now.
 
+        While the worker is silent, the last lease end is repeated: requests
+        may still reach it, and its runs count as lost once that lease has
+        ended.
+
         :return: milliseconds on the worker's clock; None if this leader does
             not know the clock yet.
         """
         if self.answered_at is None:
             return None
+        if self.silent:
+            return self.lease_sent
         elapsed_ms = int((now - self.clock_at) * 1000)
         lease_until = self.clock + elapsed_ms + int(LEASE_SECONDS * 1000)
         self.lease_sent = max(self.lease_sent, lease_until)
@@ -127,6 +141,14 @@
         self.lease_sent = 0
         self.paused_until = 0.0
 
+    def forget_clock(self) -> None:
+        """Discard the clock and the lease of an incarnation that has ended.
+
+        The worker gets no work until it answers again.
+        """
+        self.answered_at = None
+        self.lease_sent = 0
+
     def free_resources(self) -> spec.Resources:
         """Return the resources that no run uses."""
         free = self.entry.resources
@@ -138,9 +160,8 @@
         """Return whether the worker may get work."""
         return (
             self.registered and self.entry.state is workers.WorkerState.READY
-            and self.answered_at is not None
+            and self.answered_at is not None and not self.silent
             and now - self.answered_at < MAX_ANSWER_AGE_SECONDS
-            and self.answered_at > self.unanswered_at
             and now >= self.paused_until
         )
 
--- a/src/nutmegworks/fleet/worker_session.py
+++ b/src/nutmegworks/fleet/worker_session.py
@@ -28,7 +28,7 @@
 
 
 class Listener(abc.ABC):
-    """Receives the reports and lease expiries of a session."""
+    """Receives what a session learns about its worker."""
 
     @abc.abstractmethod
     async def handle_report(
@@ -44,8 +44,12 @@
         """
 
     @abc.abstractmethod
-    def handle_lease_expiry(self, worker: fleet_worker.Worker) -> None:
-        """Process the expiry of a worker's lease: all its runs are lost."""
+    async def handle_loss(
+        self,
+        worker: fleet_worker.Worker,
+        reason: str,
+    ) -> None:
+        """Process that all runs on a worker have ended without a report."""
 
 
 class Session:
@@ -75,12 +79,12 @@
         worker = self._worker
         while worker.registered or worker.runs_by_key:
             if not self._member.may_act_as_leader():
-                self._check_lease_expiry()
+                await self._check_lease_expiry()
                 await curio.sleep(RETRY_SECONDS)
                 continue
             await self._renew()
 
-    def _check_lease_expiry(self) -> None:
+    async def _check_lease_expiry(self) -> None:
         worker = self._worker
         if worker.runs_by_key and worker.lease_expired(
                 membership.steady_clock()):
@@ -90,11 +94,11 @@
                 runs=len(worker.runs_by_key),
                 renewal_age=round(self._member.renewal_age(), 3),
             )
-            self._listener.handle_lease_expiry(worker)
+            await self._listener.handle_loss(worker, 'lease expired')
 
     def _report_wait(self) -> float:
         worker = self._worker
-        if worker.answered_at is None:
+        if worker.silent:
             return 0.0
         if worker.runs_by_key:
             return BUSY_WAIT_SECONDS
@@ -112,16 +116,7 @@
             wait=self._report_wait(),
         )
         if answer.is_err():
-            self._unanswered += 1
-            if self._unanswered == UNREACHABLE_FAILURES:
-                _LOG.info(
-                    'worker unreachable',
-                    worker=worker.worker_id,
-                    detail=answer.err_value.detail,
-                    runs=len(worker.runs_by_key),
-                )
-            self._check_lease_expiry()
-            await curio.sleep(RETRY_SECONDS)
+            await self._handle_error(answer.err_value)
             return
         report = answer.ok_value
         if report is None:
@@ -133,5 +128,28 @@
         if worker.processed == processed:
             await curio.sleep(RENEW_PAUSE_SECONDS)
 
+    async def _handle_error(self, error: interfaces.CallError) -> None:
+        worker = self._worker
+        worker.unanswered_at = membership.steady_clock()
+        self._unanswered += 1
+        if self._unanswered == UNREACHABLE_FAILURES:
+            _LOG.info(
+                'worker unreachable',
+                worker=worker.worker_id,
+                detail=error.detail,
+                runs=len(worker.runs_by_key),
+            )
+        if error.replaced and worker.runs_by_key:
+            _LOG.warning(
+                'another worker answers at the address of a worker',
+                worker=worker.worker_id,
+                address=worker.entry.address,
+                runs=len(worker.runs_by_key),
+            )
+            await self._listener.handle_loss(worker, 'worker replaced')
+        else:
+            await self._check_lease_expiry()
+        await curio.sleep(RETRY_SECONDS)
+
 
 __all__ = ('Listener', 'Session')
--- a/src/nutmegworks/platform/executors.py
+++ b/src/nutmegworks/platform/executors.py
@@ -159,7 +159,11 @@
             return result.Ok(None)
         if response.status != 200:
             return result.Err(
-                interfaces.CallError(f'status {response.status}')
+                interfaces.CallError(
+                    f'status {response.status}',
+                    # An executor answers so to requests for any other one.
+                    replaced=response.status == 421,
+                )
             )
         try:
             return result.Ok(_decode_report(response.body))
--- a/tests/fleet/memory.py
+++ b/tests/fleet/memory.py
@@ -229,12 +229,18 @@
     """Workers whose runs end only when the test ends them.
 
     :ivar unreachable: workers on which requests fail without effect.
+    :ivar unheard: workers whose answers are lost; requests take effect.
+    :ivar replaced: workers at whose addresses others answer now.
+    :ivar lease_by_id: end of the latest lease in milliseconds, by worker.
     :ivar lose_starts: number of next starts that take effect without an
         answer.
     """
 
     def __init__(self) -> None:
         self.unreachable: set[ids.WorkerId] = set()
+        self.unheard: set[ids.WorkerId] = set()
+        self.replaced: set[ids.WorkerId] = set()
+        self.lease_by_id: dict[ids.WorkerId, int] = {}
         self.lose_starts = 0
         self.token_by_id: dict[ids.WorkerId, int] = {}
         self.running_by_id: dict[
@@ -245,6 +251,11 @@
         self.number_by_id: dict[ids.WorkerId, int] = {}
         self.starts: list[tuple[ids.WorkerId, workers.StartRequest]] = []
 
+    def _extend_lease(self, worker_id: ids.WorkerId, until: int) -> None:
+        self.lease_by_id[worker_id] = max(
+            until, self.lease_by_id.get(worker_id, 0)
+        )
+
     def _accepts(self, worker_id: ids.WorkerId, token: int) -> bool:
         if token < self.token_by_id.get(worker_id, 0):
             return False
@@ -266,6 +277,9 @@
         self.starts.append((worker_id, request))
         running = self.running_by_id.setdefault(worker_id, {})
         running[(request.task, request.run)] = request.checkpoint
+        self._extend_lease(worker_id, request.lease_until)
+        if worker_id in self.unheard:
+            return workers.StartOutcome.UNKNOWN
         if self.lose_starts:
             self.lose_starts -= 1
             return workers.StartOutcome.UNKNOWN
@@ -318,8 +332,14 @@
         await curio.sleep(min(wait, 0.03))
         if worker_id in self.unreachable:
             return result.Err(interfaces.CallError('silent'))
+        if worker_id in self.replaced:
+            return result.Err(interfaces.CallError('421', replaced=True))
         if not self._accepts(worker_id, token):
             return result.Ok(None)
+        if lease_until is not None:
+            self._extend_lease(worker_id, lease_until)
+        if worker_id in self.unheard:
+            return result.Err(interfaces.CallError('silent'))
         ended = [
             end for end in self.ended_by_id.get(worker_id, [])
             if end.number > acknowledged
