fleet: a run that no incarnation reported may be in the next one

Change: only runs that a report has listed are lost with their incarnation. The others are kept until a report of the new one decides, or until all leases have expired. The same holds for a worker that was replaced at its address.

--- a/src/nutmegworks/fleet/leader.py
+++ b/src/nutmegworks/fleet/leader.py
@@ -175,25 +175,28 @@
         reregistered = not worker.registered
         worker.registered = True
         worker.entry = entry
-        self._lose_earlier_incarnations(worker)
+        self._handle_restart(worker)
         if reregistered and not worker.runs_by_key:
             await self._open_session(worker)
         return entry.worker_id
 
-    def _lose_earlier_incarnations(self, worker: fleet_worker.Worker) -> None:
-        """Lose the runs of incarnations that ended before the entry's.
+    def _handle_restart(self, worker: fleet_worker.Worker) -> None:
+        """Lose the runs of an incarnation that ended before the entry's.
 
         A worker that starts again under its id runs nothing of before.
         """
         started = worker.entry.incarnation
-        if worker.incarnation is not None and worker.incarnation < started:
-            worker.forget_clock()
-        ended = [
-            run for run in worker.runs_by_key.values()
-            if run.incarnation < started
-        ]
-        for run in ended:
-            self._state.lose_run(run, 'worker restarted')
+        if worker.incarnation is None or worker.incarnation >= started:
+            return
+        _LOG.info(
+            'worker entry of a later start',
+            worker=worker.worker_id,
+            runs=len(worker.runs_by_key),
+        )
+        self._state.lose_reported_runs(worker, 'worker restarted')
+        worker.forget_clock(
+            fleet_worker.prior_leases_expire_at(membership.steady_clock())
+        )
 
 
 class Term:
--- a/src/nutmegworks/fleet/reports.py
+++ b/src/nutmegworks/fleet/reports.py
@@ -77,20 +77,21 @@
             self._state.worker_health.reset(worker.worker_id)
             self._state.worker_speeds.reset(worker.worker_id)
         worker.reset_for_incarnation(report.incarnation)
-        for run in list(worker.runs_by_key.values()):
-            if run.incarnation != report.incarnation:
-                self._state.lose_run(run, 'worker restarted')
+        self._state.lose_reported_runs(worker, 'worker restarted')
+        # The start requests of the others may have reached the new
+        # incarnation. Its reports tell whether they did.
+        for run in worker.runs_by_key.values():
+            run.incarnation = report.incarnation
 
-    async def handle_loss(
-        self,
-        worker: fleet_worker.Worker,
-        reason: str,
-    ) -> None:
+    async def handle_lease_expiry(self, worker: fleet_worker.Worker) -> None:
         for run in list(worker.runs_by_key.values()):
-            self._state.lose_run(run, reason)
+            self._state.lose_run(run, 'lease expired')
         # Once it answers again, its lease is tracked from that answer.
-        worker.forget_clock()
-        worker.prior_leases_expire_at = membership.steady_clock()
+        worker.forget_clock(membership.steady_clock())
+        await self._state.notify()
+
+    async def handle_replacement(self, worker: fleet_worker.Worker) -> None:
+        self._state.lose_reported_runs(worker, 'worker replaced')
         await self._state.notify()
 
     def _apply_status(
--- a/src/nutmegworks/fleet/state.py
+++ b/src/nutmegworks/fleet/state.py
@@ -108,6 +108,19 @@
         self.release_run(run, reason)
         self.stop_gang(run, f'a member was lost: {reason}')
 
+    def lose_reported_runs(
+        self,
+        worker: fleet_worker.Worker,
+        reason: str,
+    ) -> None:
+        """Remove the runs that an incarnation reported before it ended.
+
+        A run that was not reported may have been started by its successor.
+        """
+        for run in list(worker.runs_by_key.values()):
+            if run.reported:
+                self.lose_run(run, reason)
+
     def lose_runs_of_unknown_workers(self) -> None:
         """Remove adopted runs whose workers are not registered any more.
 
--- a/src/nutmegworks/fleet/table.py
+++ b/src/nutmegworks/fleet/table.py
@@ -36,7 +36,7 @@
 
     Times are seconds of ``membership.steady_clock``.
 
-    :param incarnation: the worker's, in which the run was started.
+    :param incarnation: the worker's last one that may have the run.
     :param ordered_at: when the start was decided.
     :param sent: whether a start request may have reached the worker.
     :param released: the run is over and no longer in the tables.
@@ -74,6 +74,11 @@
     def key(self) -> tuple[spec.TaskKey, workers.RunNumber]:
         return self.task, self.number
 
+    @property
+    def reported(self) -> bool:
+        """Whether a report of its worker has listed the run."""
+        return self.first_percent is not None
+
     def record_progress(self, percent: int, saved: str, now: float) -> None:
         """Update the run from a report of its worker."""
         if percent != self.percent or self.first_percent is None:
--- a/src/nutmegworks/fleet/worker.py
+++ b/src/nutmegworks/fleet/worker.py
@@ -48,8 +48,8 @@
     Times are seconds of ``membership.steady_clock``. ``clock`` and
     ``lease_sent`` are milliseconds on the worker's own clock.
 
-    :param prior_leases_expire_at: when all leases granted by earlier leaders
-        have expired.
+    :param prior_leases_expire_at: when all leases have expired that were
+        granted before the worker's clock was known.
     :param registered: its entry is in the store.
     :param registered_at: when its entry was first seen or changed its state.
     :param incarnation: the one that answered last; None before an answer.
@@ -141,13 +141,17 @@
         self.lease_sent = 0
         self.paused_until = 0.0
 
-    def forget_clock(self) -> None:
-        """Discard the clock and the lease of an incarnation that has ended.
+    def forget_clock(self, leases_expire_at: float) -> None:
+        """Discard the clock and the lease, which count no more.
 
         The worker gets no work until it answers again.
+
+        :param leases_expire_at: when all leases on the worker have expired,
+            in seconds of ``membership.steady_clock``.
         """
         self.answered_at = None
         self.lease_sent = 0
+        self.prior_leases_expire_at = leases_expire_at
 
     def free_resources(self) -> spec.Resources:
         """Return the resources that no run uses."""
--- a/src/nutmegworks/fleet/worker_session.py
+++ b/src/nutmegworks/fleet/worker_session.py
@@ -44,12 +44,12 @@
         """
 
     @abc.abstractmethod
-    async def handle_loss(
-        self,
-        worker: fleet_worker.Worker,
-        reason: str,
-    ) -> None:
-        """Process that all runs on a worker have ended without a report."""
+    async def handle_lease_expiry(self, worker: fleet_worker.Worker) -> None:
+        """Process the expiry of a worker's lease: all its runs are lost."""
+
+    @abc.abstractmethod
+    async def handle_replacement(self, worker: fleet_worker.Worker) -> None:
+        """Process that another worker answers at a worker's address."""
 
 
 class Session:
@@ -94,7 +94,7 @@
                 runs=len(worker.runs_by_key),
                 renewal_age=round(self._member.renewal_age(), 3),
             )
-            await self._listener.handle_loss(worker, 'lease expired')
+            await self._listener.handle_lease_expiry(worker)
 
     def _report_wait(self) -> float:
         worker = self._worker
@@ -146,9 +146,8 @@
                 address=worker.entry.address,
                 runs=len(worker.runs_by_key),
             )
-            await self._listener.handle_loss(worker, 'worker replaced')
-        else:
-            await self._check_lease_expiry()
+            await self._listener.handle_replacement(worker)
+        await self._check_lease_expiry()
         await curio.sleep(RETRY_SECONDS)
 
 
