policy: the planner sums releases in advance and remembers what had no room

Cause: a round summed all releases of each worker anew for each waiting demand and searched again for each gang of a shape that had just found no room. Change: releases are sorted and summed once a round and looked up; a gang of a shape that had no room in this round is not searched again; whether tasks fit into their racks is found once a round; the search for the earliest time filters and groups the workers once and tests first whether the gang ever fits. No decision changes.

--- a/src/nutmegworks/policy/task_placement.py
+++ b/src/nutmegworks/policy/task_placement.py
@@ -5,6 +5,7 @@
 """
 from __future__ import annotations
 
+import bisect
 import dataclasses
 import math
 import typing
@@ -53,6 +54,15 @@
     releases: tuple[Release, ...] = ()
     reserved_from: float = math.inf
     slow: bool = False
+    # Sorted times of the releases, and what is released up to each of them;
+    # None until they are needed.
+    _released: tuple[list[float], list[spec.Resources]] | None = (
+        dataclasses.field(default=None, init=False, repr=False, compare=False)
+    )
+
+    def add_release(self, release: Release) -> None:
+        self.releases += (release, )
+        self._released = None
 
     def free_score(self) -> float:
         """Return how empty the worker is; lower values are filled first."""
@@ -68,17 +78,50 @@
 
         A run that is about to end still uses its resources now.
         """
-        free = self.free
-        if after <= 0:
-            return free
-        for release in self.releases:
-            if release.after <= after:
-                free = free.plus(release.resources)
-        return free
+        if after <= 0 or not self.releases:
+            return self.free
+        if self._released is None:
+            self._released = self._sum_releases()
+        times, released = self._released
+        count = bisect.bisect_right(times, after)
+        return self.free.plus(released[count - 1]) if count else self.free
+
+    def _sum_releases(self) -> tuple[list[float], list[spec.Resources]]:
+        ordered = sorted(self.releases, key=lambda release: release.after)
+        released = []
+        total = spec.Resources()
+        for release in ordered:
+            total = total.plus(release.resources)
+            released.append(total)
+        return [release.after for release in ordered], released
 
 
 Placement = list[ids.WorkerId]
 
+# What decides on which workers a task of a demand fits.
+ShapeKey = tuple[typing.Hashable, ...]
+
+
+def shape_key(
+    demand: task_demand.Demand,
+    *,
+    any_rack: bool = False,
+) -> ShapeKey:
+    """Return a key that is equal for demands that fit on the same workers."""
+    step = demand.step
+    return (
+        demand.service_id,
+        step.resources,
+        step.required_label,
+        step.data_rack,
+        step.gang,
+        step.one_rack,
+        step.max_per_worker,
+        demand.excluded_worker_ids,
+        tuple(sorted(demand.used_by_worker.items())),
+        any_rack,
+    )
+
 
 def eligible_workers(
     demand: task_demand.Demand,
@@ -200,6 +243,20 @@
         released until then count as free.
     """
     eligible = eligible_workers(demand, workers)
+    groups = placement_groups(demand, eligible, any_rack)
+    return _place_in_groups(demand, eligible, groups, after)
+
+
+def _place_in_groups(
+    demand: task_demand.Demand,
+    eligible: typing.Sequence[WorkerCapacity],
+    groups: typing.Iterable[typing.Sequence[WorkerCapacity]],
+    after: float,
+) -> Placement:
+    """Return workers of the group that suits the tasks best.
+
+    :param eligible: the workers of all groups.
+    """
     max_tasks_by_id = _max_tasks_by_id(demand, eligible, after)
     if (demand.step.gang
             and sum(max_tasks_by_id.values()) < len(demand.indexes)):
@@ -209,7 +266,7 @@
         slow_ids = {worker.worker_id for worker in eligible if worker.slow}
     best: Placement = []
     best_cost = (0, False, math.inf)
-    for group in placement_groups(demand, eligible, any_rack):
+    for group in groups:
         placement = _choose_workers(demand, group, max_tasks_by_id)
         if not placement:
             continue
@@ -262,24 +319,29 @@
             for release in worker.releases
         }
     )
-    low, high = 0, len(times)
+    groups = placement_groups(demand, eligible, any_rack=False)
     earliest: tuple[float, Placement] = (math.inf, [])
+    if not times:
+        return earliest
+    # Most gangs that fit at all need less than all releases, but a gang that
+    # never fits is common and needs no search.
+    low, high = 0, len(times)
+    middle = high - 1
     while low < high:
-        middle = (low + high) // 2
-        placement = place(
-            demand, eligible, any_rack=False, after=times[middle]
-        )
+        placement = _place_in_groups(demand, eligible, groups, times[middle])
         if len(placement) == len(demand.indexes):
             earliest = (times[middle], placement)
             high = middle
         else:
             low = middle + 1
+        middle = (low + high) // 2
     return earliest
 
 
 __all__ = (
     'Placement',
     'Release',
+    'ShapeKey',
     'WorkerCapacity',
     'earliest_placement',
     'eligible_workers',
@@ -287,4 +349,5 @@
     'max_tasks',
     'place',
     'placement_groups',
+    'shape_key',
 )
--- a/src/nutmegworks/policy/task_planning.py
+++ b/src/nutmegworks/policy/task_planning.py
@@ -92,6 +92,14 @@
         # Resources that no worker can provide any more, with the shortest
         # duration for which this was found.
         self._exhausted: list[tuple[spec.Resources, float]] = []
+        # Gangs that could not be placed in this round: number of tasks and
+        # duration by shape.
+        self._unplaced_gangs: dict[
+            task_placement.ShapeKey,
+            list[tuple[int, float]],
+        ] = {}
+        # Whether tasks fit into their preferred racks, by shape and number.
+        self._fits_racks: dict[tuple[task_placement.ShapeKey, int], bool] = {}
         self._reservations = reservations
         self.new_reservations: dict[
             task_demand.DemandKey,
@@ -119,6 +127,7 @@
             if worker is not None:
                 worker.free = worker.free.plus(demand.step.resources)
         self._exhausted.clear()
+        self._unplaced_gangs.clear()
         unplaced = self._start(demand)
         if unplaced.indexes:
             self._reserve(placement, demand)
@@ -156,7 +165,12 @@
         if demand.guaranteed and demand.waited > RECLAIM_SECONDS:
             # A guarantee says when the tasks start, not how fast they are.
             return True
-        return not task_placement.fits_preferred_racks(demand, self._workers)
+        key = task_placement.shape_key(demand), len(demand.indexes)
+        if key not in self._fits_racks:
+            self._fits_racks[key] = task_placement.fits_preferred_racks(
+                demand, self._workers
+            )
+        return not self._fits_racks[key]
 
     def _is_half_empty(self) -> bool:
         free = sum(worker.free.accelerators for worker in self._workers)
@@ -182,6 +196,21 @@
             for resources, duration in self._exhausted
         )
 
+    def _is_unplaced_gang(
+        self,
+        demand: task_demand.Demand,
+        key: task_placement.ShapeKey,
+    ) -> bool:
+        """Return whether a gang of the shape that needs no more had no room.
+
+        During a round workers only get fuller, except for reservations that
+        are used.
+        """
+        return any(
+            len(demand.indexes) >= count and demand.duration >= duration
+            for count, duration in self._unplaced_gangs.get(key, ())
+        )
+
     def _record_exhausted(self, demand: task_demand.Demand) -> None:
         step = demand.step
         constrained = (
@@ -200,11 +229,17 @@
         return unplaced
 
     def _place(self, demand: task_demand.Demand) -> task_demand.Demand:
+        any_rack = self._may_use_any_rack(demand)
+        key = task_placement.shape_key(demand, any_rack=any_rack)
+        if demand.step.gang and self._is_unplaced_gang(demand, key):
+            return demand
         placement = task_placement.place(
-            demand,
-            self._backfill_workers(demand),
-            any_rack=self._may_use_any_rack(demand),
+            demand, self._backfill_workers(demand), any_rack=any_rack
         )
+        if demand.step.gang and not placement:
+            self._unplaced_gangs.setdefault(key, []).append(
+                (len(demand.indexes), demand.duration)
+            )
         indexes = demand.indexes[:len(placement)]
         if not indexes:
             return demand
@@ -256,7 +291,7 @@
                 release = task_placement.Release(
                     STOPPING_SECONDS, task.resources
                 )
-                worker.releases += (release, )
+                worker.add_release(release)
         self._reserve(preemption.placement, demand)
         self.new_reservations[demand.key] = preemption.placement
         return True
--- a/src/nutmegworks/tasks/spec.py
+++ b/src/nutmegworks/tasks/spec.py
@@ -62,14 +62,20 @@
         2
         """
         # Hot path: called for each worker and waiting step in each round.
+        # Accelerators run out first.
         fits = MAX_COPIES
+        if other.accelerators > 0:
+            copies = self.accelerators // other.accelerators
+            if copies <= 0:
+                return 0
+            fits = copies if copies < fits else fits
         if other.cpu > 0:
-            fits = min(fits, self.cpu // other.cpu)
+            copies = self.cpu // other.cpu
+            fits = copies if copies < fits else fits
         if other.memory > 0:
-            fits = min(fits, self.memory // other.memory)
-        if other.accelerators > 0:
-            fits = min(fits, self.accelerators // other.accelerators)
-        return max(0, fits)
+            copies = self.memory // other.memory
+            fits = copies if copies < fits else fits
+        return fits if fits > 0 else 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
