fleet, platform: a malformed report or an unexpected error ends no session

Cause: rows of a worker's report were read by position without a check of length and type. A short row raised IndexError in the worker's session, which ended: the lease was then neither renewed nor seen to expire, and the worker's runs stayed until the next leader. Any other unexpected error in a session had the same effect. Change: rows are decoded into types, so a malformed one is an error of that call like any other. Ruled out: other tasks of a term; their errors end the term, which is logged and begun anew (fleet.supervision).

--- a/src/nutmegworks/fleet/leader.py
+++ b/src/nutmegworks/fleet/leader.py
@@ -360,10 +360,24 @@
         session = worker_session.Session(
             worker, self._client, self._member, self._token, self._reports
         )
-        try:
-            await session.run()
-        except journals.LeadershipLostError as error:
-            await self._step_down(f'worker {error} has seen a newer leader')
+        while True:
+            try:
+                await session.run()
+                return
+            except journals.LeadershipLostError as error:
+                await self._step_down(
+                    f'worker {error} has seen a newer leader'
+                )
+                return
+            except Exception as error:
+                # Without a session the worker's lease would neither be
+                # renewed nor expire here.
+                _LOG.exception(
+                    'worker session failed',
+                    worker=worker.worker_id,
+                    error=repr(error),
+                )
+                await curio.sleep(RETRY_SECONDS)
 
     async def _acknowledge(
         self,
--- a/src/nutmegworks/platform/executors.py
+++ b/src/nutmegworks/platform/executors.py
@@ -45,12 +45,25 @@
     reason: str = ''
 
 
+class _RunningRow(msgspec.Struct, array_like=True):
+    task: str
+    run: int
+    checkpoint: str
+    percent: float
+
+
+class _EndedRow(msgspec.Struct, array_like=True):
+    number: int
+    task: str
+    run: int
+    kind: workers.EndKind
+    checkpoint: str
+
+
 class _Report(msgspec.Struct, rename='camel'):
     clock_ms: int
-    # Rows of task, run, newest checkpoint, percent and load.
-    running: list[list[typing.Any]] = []
-    # Rows of number, task, run, end kind and newest checkpoint.
-    ended: list[list[typing.Any]] = []
+    running: list[_RunningRow] = []
+    ended: list[_EndedRow] = []
     # The incarnation of the worker.
     born: int = 0
 
@@ -186,19 +199,19 @@
         incarnation=workers.WorkerIncarnation(report.born),
         running=tuple(
             workers.RunStatus(
-                spec.TaskKey.parse(row[0]),
-                workers.RunNumber(row[1]),
-                row[2],
-                int(row[3]),
+                spec.TaskKey.parse(row.task),
+                workers.RunNumber(row.run),
+                row.checkpoint,
+                int(row.percent),
             ) for row in report.running
         ),
         ended=tuple(
             workers.RunEnd(
-                row[0],
-                spec.TaskKey.parse(row[1]),
-                workers.RunNumber(row[2]),
-                workers.EndKind(row[3]),
-                row[4],
+                row.number,
+                spec.TaskKey.parse(row.task),
+                workers.RunNumber(row.run),
+                row.kind,
+                row.checkpoint,
             ) for row in report.ended
         ),
     )
--- a/tests/fleet/test_silent_workers.py
+++ b/tests/fleet/test_silent_workers.py
@@ -319,3 +319,35 @@
             assert len(fleet.starts) == (2 if reported else 1)
 
     helpers.run(main)
+
+
+class _FailingWorkers(memory.MemoryWorkers):
+    """Workers of which one renewal raises an unexpected error."""
+
+    failed = False
+
+    async def renew(self, worker, token, acknowledged, *, lease_until, wait):
+        if self.starts and not self.failed:
+            self.failed = True
+            raise RuntimeError('unexpected')
+        return await super().renew(
+            worker, token, acknowledged, lease_until=lease_until, wait=wait
+        )
+
+
+def test_unexpected_error_does_not_end_the_renewals() -> None:
+    """Guards against a worker whose lease is neither renewed nor awaited."""
+
+    async def main() -> None:
+        store, _ = _fleet('w1')
+        fleet = _FailingWorkers()
+        async with builders.running_term(store, fleet) as term:
+            await _start_job(store, fleet)
+            await builders.wait_until(lambda: fleet.failed)
+            builders.end_all_runs(fleet, workers.EndKind.DONE)
+            await builders.wait_until(
+                lambda: term.state.public_state(JOB) is records.JobState.
+                SUCCEEDED
+            )
+
+    helpers.run(main)
