fleet, specs: a worker that restarts unseen can't keep a run that is given up

The clock of a later incarnation starts anew, and it shortens a lease on the former clock to the longest one, counted from the request's arrival. If a worker restarts just before a start request or a renewal arrives and is then silent, its run could last longer than the leader waits, 8.5 s after the last answer, and a second run could begin beside it. On sites whose longest lease is 10 s this needs a silence between the two. Change: renewals of a silent worker carry no lease at all; a start request that is repeated to it repeats the last one. A run that no report has listed is given up only when every incarnation's lease has ended (12 s after the last request with a lease). Ruled out: the same for reported runs; these ended with their incarnation.

--- a/src/nutmegworks/fleet/orders.py
+++ b/src/nutmegworks/fleet/orders.py
@@ -118,7 +118,7 @@
         if run.phase is not table.RunPhase.ORDERED or run.released:
             return None
         now = membership.steady_clock()
-        lease = None if worker is None else worker.next_lease(now)
+        lease = None if worker is None else worker.start_lease(now)
         if (worker is None or lease is None
                 or worker.incarnation != run.incarnation):
             return workers.StartOutcome.WRONG_WORKER
--- a/src/nutmegworks/fleet/reports.py
+++ b/src/nutmegworks/fleet/reports.py
@@ -84,10 +84,13 @@
             run.incarnation = report.incarnation
 
     async def handle_lease_expiry(self, worker: fleet_worker.Worker) -> None:
+        now = membership.steady_clock()
         for run in list(worker.runs_by_key.values()):
-            self._state.lose_run(run, 'lease expired')
+            # A run that was not reported may be in a later incarnation.
+            if run.reported or worker.all_leases_expired(now):
+                self._state.lose_run(run, 'lease expired')
         # Once it answers again, its lease is tracked from that answer.
-        worker.forget_clock(membership.steady_clock())
+        worker.forget_clock(now)
         await self._state.notify()
 
     async def handle_replacement(self, worker: fleet_worker.Worker) -> None:
--- a/src/nutmegworks/fleet/worker.py
+++ b/src/nutmegworks/fleet/worker.py
@@ -24,6 +24,9 @@
 # without a renewal (6 s), less the time that its own lease took to expire
 # (2 s).
 PRIOR_LEADER_LEASE_SECONDS: typing.Final = 4.0
+# A renewal is given up after 1.8 s without an answer, a start request sooner.
+# Until then it may reach the worker.
+REQUEST_TRANSIT_SECONDS: typing.Final = 1.8
 # A worker gets no new work if its last answer is older.
 MAX_ANSWER_AGE_SECONDS: typing.Final = 2.5
 
@@ -59,6 +62,7 @@
         ``clock_at``.
     :param lease_sent: latest lease end that a start request or a renewal
         carried, whether or not it was answered.
+    :param lease_sent_at: when the last request with a lease was sent.
     :param processed: number of the last end that was processed.
     :param acknowledged: number of the last end that is stored.
     :param paused_until: until then it gets no work, because it rejected a
@@ -76,6 +80,7 @@
     clock: int = 0
     clock_at: float = 0.0
     lease_sent: int = 0
+    lease_sent_at: float = -math.inf
     processed: int = 0
     acknowledged: int = 0
     paused_until: float = 0.0
@@ -94,24 +99,41 @@
             self.answered_at is None or self.unanswered_at > self.answered_at
         )
 
-    def next_lease(self, now: float) -> int | None:
-        """Return the lease end for a request that is sent now.
+    def renewal_lease(self, now: float) -> int | None:
+        """Return the lease end for a renewal that is sent now.
 
-        While the worker is silent, the last lease end is repeated: requests
-        may still reach it, and its runs count as lost once that lease has
-        ended.
+        While the worker is silent its renewals carry no lease: they may still
+        reach it, and its runs count as lost once the last lease has ended.
+
+        :return: milliseconds on the worker's clock; None for no lease.
+        """
+        return None if self.silent else self.start_lease(now)
+
+    def start_lease(self, now: float) -> int | None:
+        """Return the lease end for a start request that is sent now.
+
+        While the worker is silent, the last one is repeated.
 
         :return: milliseconds on the worker's clock; None if this leader does
-            not know the clock yet.
+            not know the clock.
         """
         if self.answered_at is None:
             return None
-        if self.silent:
-            return self.lease_sent
-        elapsed_ms = int((now - self.clock_at) * 1000)
-        lease_until = self.clock + elapsed_ms + int(LEASE_SECONDS * 1000)
-        self.lease_sent = max(self.lease_sent, lease_until)
-        return lease_until
+        if not self.silent:
+            elapsed_ms = int((now - self.clock_at) * 1000)
+            lease_until = self.clock + elapsed_ms + int(LEASE_SECONDS * 1000)
+            self.lease_sent = max(self.lease_sent, lease_until)
+        self.lease_sent_at = now
+        return self.lease_sent
+
+    def all_leases_expired(self, now: float) -> bool:
+        """Return whether no incarnation can have a lease any more.
+
+        A later incarnation, whose clock starts anew, shortens a lease on the
+        clock of the known one to the longest lease.
+        """
+        longest = MAX_LEASE_SECONDS / MIN_CLOCK_RATE
+        return now > self.lease_sent_at + REQUEST_TRANSIT_SECONDS + longest
 
     def lease_expired(self, now: float) -> bool:
         """Return whether every run on the worker must have ended by now."""
--- a/src/nutmegworks/fleet/worker_session.py
+++ b/src/nutmegworks/fleet/worker_session.py
@@ -112,7 +112,7 @@
             worker.entry,
             self._token,
             worker.acknowledged,
-            lease_until=worker.next_lease(sent_at),
+            lease_until=worker.renewal_lease(sent_at),
             wait=self._report_wait(),
         )
         if answer.is_err():
