--- a/specs/claims.py
+++ b/specs/claims.py
@@ -272,7 +272,9 @@
         yield 'Batcher._process_batch', _with_attempt(state, number, granted)
     if variant is Variant.ATTEMPT_ID_REUSED:
         reused = again._replace(releasing=True)
-        yield 'ClaimService._release', _with_attempt(state, number, reused)
+        yield 'ClaimService._release_unless_granted', _with_attempt(
+            state, number, reused
+        )
     yield 'Batcher._fail', _refuse(state, number, variant)
 
 
@@ -330,7 +332,9 @@
     released = _with_attempt(state, number, attempt._replace(releasing=False))
     if _may_finish(state.record, number, variant):
         claim = ('DID_NOT_RUN', number)
-        yield 'ClaimService._release', _with_claim(released, claim, variant)
+        yield 'ClaimService._release_unless_granted', _with_claim(
+            released, claim, variant
+        )
 
 
 def _delayed_write(state: State, number: int, variant: Variant):
