fleet: the lease of a new incarnation is not known from its first report

Cause: found on reading the diff. A run that was not reported is kept over its worker's restart, but the lease that its start request gave the new incarnation was forgotten, so a leader that could not renew its own lease at that moment counted it as expired at once and would have started the run again. Change: the first report of an incarnation sets the longest lease, as that of a worker that is new to the leader does. Ruled out: a run lost with the former incarnation; those are released already.

--- a/src/nutmegworks/fleet/worker.py
+++ b/src/nutmegworks/fleet/worker.py
@@ -146,7 +146,8 @@
     def record_answer(self, report: workers.Report, now: float) -> None:
         """Record the time of an answer and the worker's clock in it."""
         if self.answered_at is None:
-            # An earlier leader may have granted a lease of any length.
+            # An earlier leader, or a request to an earlier incarnation, may
+            # have granted a lease of any length.
             longest_ms = int(MAX_LEASE_SECONDS * 1000)
             self.lease_sent = max(self.lease_sent, report.clock + longest_ms)
         self.answered_at = now
@@ -162,9 +163,11 @@
         self.acknowledged = 0
         self.lease_sent = 0
         self.paused_until = 0.0
+        # Requests to the previous incarnation may have given it a lease.
+        self.answered_at = None
 
     def forget_clock(self, leases_expire_at: float) -> None:
-        """Discard the clock and the lease, which count no more.
+        """Discard the clock and the lease of the known incarnation.
 
         The worker gets no work until it answers again.
 
--- a/src/nutmegworks/fleet/worker_session.py
+++ b/src/nutmegworks/fleet/worker_session.py
@@ -45,7 +45,10 @@
 
     @abc.abstractmethod
     async def handle_lease_expiry(self, worker: fleet_worker.Worker) -> None:
-        """Process the expiry of a worker's lease: all its runs are lost."""
+        """Process the expiry of a worker's lease.
+
+        All runs of the known incarnation are lost.
+        """
 
     @abc.abstractmethod
     async def handle_replacement(self, worker: fleet_worker.Worker) -> None:
--- a/tests/fleet/test_silent_workers.py
+++ b/tests/fleet/test_silent_workers.py
@@ -380,3 +380,22 @@
             assert time.monotonic() - started_at > 3 * LEASE_SECONDS
 
     helpers.run(main)
+
+
+def test_first_report_of_an_incarnation_does_not_tell_its_lease() -> None:
+    """Guards against a run that is given up right after a restart.
+
+    The start request that reached the next incarnation gave it a lease.
+    """
+    store, _ = _fleet('w1')
+    item = store.item_by_key['servers/w1']
+    entry = wire.PlatformDecoder().worker(item.key, item.value)
+    worker = fleet_worker.Worker(entry, prior_leases_expire_at=0.0)
+    worker.record_answer(workers.Report(90_000, 1, (), ()), 100.0)
+    worker.start_lease(100.0)
+
+    worker.reset_for_incarnation(workers.WorkerIncarnation(2))
+    worker.record_answer(workers.Report(500, 2, (), ()), 101.0)
+
+    assert not worker.lease_expired(101.0 + LEASE_SECONDS)
+    assert worker.lease_expired(101.0 + EXPIRY_SECONDS)
