net, fleet: logs and metrics tell a slow transfer from a silent store

The line of a failed listing said `no answer in 0.800 s` both when nothing and when most of the response had arrived, and no metric showed that a host's configuration was old.

Change: the error says how many bytes had arrived; failed listings and watches log the age of what the host knows; nutmeg_config_age_seconds shows it; `configuration adopted` has the size. No decision changes.

--- a/src/nutmegworks/daemon/fleetnode.py
+++ b/src/nutmegworks/daemon/fleetnode.py
@@ -78,6 +78,12 @@
         self._store = metastore.MetadataStore(self._store_transport)
         self._decoder = wire.PlatformDecoder()
         self._configuration_holder = configuration_holder.ConfigurationHolder()
+        self._configuration_watcher = self._make_watcher(
+            wire.OPERATORS_PREFIX,
+            configuration_holder.ConfigurationSink(
+                self._configuration_holder, self._decoder
+            ),
+        )
         self._membership = membership.Membership(
             self._store,
             settings.member_id,
@@ -170,6 +176,7 @@
         term = leader_client.serving_term(self._candidate)
         metrics.leading.set({}, int(term is not None))
         metrics.renewal_age.set({}, self._membership.renewal_age())
+        metrics.config_age.set({}, self._configuration_watcher.age())
         if self._configuration_holder.value is not None:
             metrics.config_version.set(
                 {}, self._configuration_holder.value.version
@@ -229,12 +236,7 @@
             await self._client_server.start(*self._settings.client_address)
             _LOG.info('serving clients', address=self._client_server.address)
             await supervision.run_until_first(
-                self._make_watcher(
-                    wire.OPERATORS_PREFIX,
-                    configuration_holder.ConfigurationSink(
-                        self._configuration_holder, self._decoder
-                    ),
-                ).run,
+                self._configuration_watcher.run,
                 self._make_watcher(
                     records.CONTROL_PREFIX,
                     membership.ControlSink(
--- a/src/nutmegworks/fleet/configuration_holder.py
+++ b/src/nutmegworks/fleet/configuration_holder.py
@@ -55,6 +55,7 @@
             'configuration adopted',
             version=new.version,
             previous=None if old is None else old.version,
+            bytes=len(item.value),
             queues=len(new.queues_by_id),
             teams=len(new.teams_by_id),
         )
--- a/src/nutmegworks/fleet/prefix_watcher.py
+++ b/src/nutmegworks/fleet/prefix_watcher.py
@@ -61,18 +61,30 @@
         self._wait = wait
         self._revision: ids.StoreRevision | None = None
         self._listed_at = 0.0
+        self._read_at = time.monotonic()
+
+    def age(self) -> float:
+        """Return seconds since the last read that was answered was sent.
+
+        The sink has every change that is older, unless the store compacted
+        its history meanwhile.
+        """
+        return time.monotonic() - self._read_at
 
     async def load(self) -> bool:
         """List the prefix once; return whether the store answered."""
+        sent_at = time.monotonic()
         listed = await self._store.list(self._prefix)
         if listed.is_err():
             _LOG.info(
                 'listing a store prefix failed',
                 prefix=self._prefix,
-                detail=listed.err_value.detail
+                detail=listed.err_value.detail,
+                age=round(self.age(), 3),
             )
             return False
         self._listed_at = time.monotonic()
+        self._read_at = sent_at
         self._revision = listed.ok_value.revision
         await self._sink.replace(listed.ok_value.items)
         return True
@@ -90,6 +102,7 @@
         if self._revision is None or age > self._relist:
             if not await self.load():
                 return False
+        sent_at = time.monotonic()
         try:
             watched = await self._store.watch(
                 self._prefix, self._revision, min(self._wait, self._relist)
@@ -105,8 +118,10 @@
                 'watching a store prefix failed',
                 prefix=self._prefix,
                 detail=watched.err_value.detail,
+                age=round(self.age(), 3),
             )
             return False
+        self._read_at = sent_at
         changes = watched.ok_value
         if changes.items or changes.removed:
             # An empty answer must not advance the revision: the watch may
--- a/src/nutmegworks/net/client.py
+++ b/src/nutmegworks/net/client.py
@@ -58,11 +58,13 @@
     A failed exchange closes it.
 
     :ivar exchange_count: completed exchanges.
+    :ivar received_bytes: of the latest response, its head included.
     """
 
     def __init__(self, sock: curio.io.Socket, address: Address) -> None:
         self.address = address
         self.exchange_count = 0
+        self.received_bytes = 0
         self._sock = sock
         self._http = h11.Connection(
             h11.CLIENT,
@@ -91,6 +93,7 @@
             repeat.
         """
         self._may_have_sent = False
+        self.received_bytes = 0
         succeeded = False
         try:
             async with curio.timeout_after(timeout):
@@ -102,7 +105,11 @@
                 )
             succeeded = True
         except curio.TaskTimeout:
-            return self._error(Fault.TIMEOUT, f'no answer in {timeout:.3f} s')
+            return self._error(
+                Fault.TIMEOUT,
+                f'no whole answer in {timeout:.3f} s, '
+                f'{self.received_bytes} bytes received',
+            )
         except message.BodyTooLargeError as error:
             return self._error(Fault.TOO_LARGE, str(error))
         except (h11.ProtocolError, ValueError) as error:
@@ -172,6 +179,7 @@
             if event is not h11.NEED_DATA:
                 return event
             data = await self._sock.recv(message.RECEIVE_BYTES)
+            self.received_bytes += len(data)
             if not data and self._http.their_state is h11.SEND_RESPONSE:
                 raise EOFError('closed before the response')
             self._http.receive_data(data)
--- a/src/nutmegworks/telemetry/fleetmetrics.py
+++ b/src/nutmegworks/telemetry/fleetmetrics.py
@@ -62,6 +62,10 @@
         self.config_version = self._gauge(
             'nutmeg_config_version', 'Version of the configuration in force.'
         )
+        self.config_age = self._gauge(
+            'nutmeg_config_age_seconds',
+            'Seconds since the configuration was last read in the store.',
+        )
 
     def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
         return aioprometheus.Counter(name, doc, registry=self.registry)
--- a/tests/fleet/test_prefix_watcher.py
+++ b/tests/fleet/test_prefix_watcher.py
@@ -93,3 +93,18 @@
         await task.cancel()
 
     helpers.run(main)
+
+
+def test_age_grows_while_no_read_is_answered() -> None:
+    """Guards against an outdated prefix that looks current in the metrics."""
+
+    async def main() -> None:
+        store, _, watcher = _watching(silent_watches=False)
+        assert await watcher.load()
+        assert watcher.age() < 0.05
+        store.down = True
+        await curio.sleep(0.1)
+        assert not await watcher.load()
+        assert watcher.age() >= 0.1
+
+    helpers.run(main)
--- a/tests/net/test_client.py
+++ b/tests/net/test_client.py
@@ -70,6 +70,24 @@
     helpers.run(main)
 
 
+def test_time_out_says_how_much_of_the_response_arrived() -> None:
+    """Guards against a slow transfer that looks like a silent peer."""
+
+    async def handler(request: message.Request) -> message.Response:
+        raise server.AbortConnection(_raw('1', b'ab', 9), 9.0)
+
+    async def main() -> None:
+        async with helpers.serving(handler) as address:
+            answer = await pool.Pool().exchange(
+                address, _request('1'), timeout=0.2
+            )
+            assert answer.err_value.fault is client.Fault.TIMEOUT
+            sent = len(_raw('1', b'ab', 9))
+            assert f'{sent} bytes received' in answer.err_value.detail
+
+    helpers.run(main)
+
+
 def test_duplicated_response_is_not_read_by_the_next_request() -> None:
     """The second copy of a response must not answer another request."""
 
