net, fleet: reads of the store are bounded by their pauses, not by their length

Seen by callers: on the grown deployments a host with a slow link went on with an old configuration; added routes got 404 and dropped ones were served.

Cause: the time limit of a call (0.8 s for a listing, 1.6 s for a watch) covered the whole transfer. On a link of 5 Mbit/s that is about 500 kB, so a larger configuration was given up each time although it arrived steadily, and every try began anew. Class: a fixed limit on work whose length depends on data that others choose.

Change: a GET has its limit until the answer begins; then 0.8 s without a byte, or 10 s in all, end it. A silent connection is noticed as soon as before. Writes keep their limit: their answers are short.

--- a/src/nutmegworks/fleet/transport.py
+++ b/src/nutmegworks/fleet/transport.py
@@ -23,6 +23,9 @@
 
 # The store answers in about 4 ms, or in 60 times that when it is slow.
 CALL_TIMEOUT_SECONDS: typing.Final = 0.8
+# An answer to a read may be large: at 5 Mbit/s a value of the largest size
+# takes 2.2 s. Once it arrives, only this time without a byte ends the call.
+STALL_TIMEOUT_SECONDS: typing.Final = 0.8
 # Back-off of the direct route after a failure: doubled with each further
 # failure up to the maximum, since each attempt delays a call by its time-out.
 MIN_BACKOFF_SECONDS: typing.Final = 0.5
@@ -116,7 +119,8 @@
     ) -> Outcome:
         """Send one call.
 
-        :param timeout: seconds for each route.
+        :param timeout: seconds for each route; for a GET, until the answer
+            begins to arrive.
         :param idempotent: the call may take effect twice; otherwise the next
             route is tried only if the call certainly had no effect.
         :param allow_relay: use a peer after the direct route has failed.
@@ -199,7 +203,10 @@
         timeout: float,
     ) -> message.Response | Failure:
         answer = await self._pool.exchange(
-            self._address, request, timeout=timeout
+            self._address,
+            request,
+            timeout=timeout,
+            stall_timeout=_stall_timeout(request.method),
         )
         if isinstance(answer, result.Err):
             error = answer.err_value
@@ -207,7 +214,11 @@
             # a new connection indicates that the store is not available.
             if not error.first_use and error.fault is client.Fault.CLOSED:
                 answer = await self._pool.exchange(
-                    self._address, request, timeout=timeout, fresh=True
+                    self._address,
+                    request,
+                    timeout=timeout,
+                    stall_timeout=_stall_timeout(request.method),
+                    fresh=True,
                 )
         if isinstance(answer, result.Err):
             self._record_direct_result(False, answer.err_value.detail)
@@ -254,7 +265,10 @@
             'POST', RELAY_PATH, headers, request.body
         )
         answer = await self._pool.exchange(
-            address, relay_request, timeout=timeout
+            address,
+            relay_request,
+            timeout=timeout,
+            stall_timeout=_stall_timeout(request.method),
         )
         if isinstance(answer, result.Err):
             return _failure(answer.err_value)
@@ -268,6 +282,11 @@
         return response
 
 
+def _stall_timeout(method: str) -> float | None:
+    """Return the limit of a pause in an answer, None for short answers."""
+    return STALL_TIMEOUT_SECONDS if method == 'GET' else None
+
+
 def _failure(error: client.ExchangeError) -> Failure:
     effect = interfaces.Effect.NONE
     if error.may_have_reached_peer:
--- a/src/nutmegworks/net/client.py
+++ b/src/nutmegworks/net/client.py
@@ -4,6 +4,7 @@
 import dataclasses
 import enum
 import socket
+import time
 import typing
 
 import curio
@@ -16,6 +17,9 @@
 Address = tuple[str, int]
 
 CONNECT_TIMEOUT_SECONDS: typing.Final = 1.0
+# Limit of a response that is bounded by its pauses; a peer that sends a byte
+# now and then would hold the call for ever.
+MAX_TRANSFER_SECONDS: typing.Final = 10.0
 # The kernel fails a connection after about 2.5 s without an acknowledgement.
 # That is below the shortest time limit for contact (3 s) in the platform's
 # service level.
@@ -52,6 +56,23 @@
     first_use: bool = True
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _TransferLimit:
+    """Time limits of a response that has begun.
+
+    :param stall_timeout: seconds without a byte.
+    :param ends_at: monotonic seconds at which it must have ended.
+    """
+
+    stall_timeout: float
+    ends_at: float
+
+    def seconds(self) -> float:
+        """Return the seconds in which further bytes must arrive."""
+        remaining = self.ends_at - time.monotonic()
+        return max(0.0, min(self.stall_timeout, remaining))
+
+
 class Connection:
     """A connection that carries exchanges in turn.
 
@@ -82,12 +103,16 @@
         request: message.Request,
         *,
         timeout: float,
+        stall_timeout: float | None = None,
         max_body: int = message.MAX_BODY_BYTES,
         echo_header: str = '',
     ) -> result.Result[message.Response, ExchangeError]:
         """Send a request and read its whole response.
 
-        :param timeout: seconds for the whole exchange.
+        :param timeout: seconds for the whole exchange, or until the response
+            begins if ``stall_timeout`` is given.
+        :param stall_timeout: seconds without a byte after which a response
+            that has begun is given up; ``MAX_TRANSFER_SECONDS`` bounds it.
         :param max_body: bytes of response body that are accepted.
         :param echo_header: name of a request header that the response must
             repeat.
@@ -96,8 +121,15 @@
         self.received_bytes = 0
         succeeded = False
         try:
-            async with curio.timeout_after(timeout):
-                response = await self._run(request, max_body)
+            if stall_timeout is None:
+                async with curio.timeout_after(timeout):
+                    await self._send(request)
+                    response = await self._read_response(max_body)
+            else:
+                async with curio.timeout_after(timeout):
+                    await self._send(request)
+                    await self._receive()
+                response = await self._read_response(max_body, stall_timeout)
             if echo_header and response.headers.get(
                     echo_header) != request.headers[echo_header]:
                 return self._error(
@@ -105,11 +137,7 @@
                 )
             succeeded = True
         except curio.TaskTimeout:
-            return self._error(
-                Fault.TIMEOUT,
-                f'no whole answer in {timeout:.3f} s, '
-                f'{self.received_bytes} bytes received',
-            )
+            return self._timeout_error(timeout, stall_timeout)
         except message.BodyTooLargeError as error:
             return self._error(Fault.TOO_LARGE, str(error))
         except (h11.ProtocolError, ValueError) as error:
@@ -132,11 +160,22 @@
             )
         )
 
-    async def _run(
+    def _timeout_error(
         self,
-        request: message.Request,
-        max_body: int,
-    ) -> message.Response:
+        timeout: float,
+        stall_timeout: float | None,
+    ) -> result.Err[ExchangeError]:
+        limit = f'no whole answer in {timeout:.3f} s'
+        if stall_timeout is not None and self.received_bytes:
+            limit = (
+                f'no further byte in {stall_timeout:.3f} s, or no end in '
+                f'{MAX_TRANSFER_SECONDS:.0f} s'
+            )
+        return self._error(
+            Fault.TIMEOUT, f'{limit}, {self.received_bytes} bytes received'
+        )
+
+    async def _send(self, request: message.Request) -> None:
         headers = {
             'host': f'{self.address[0]}:{self.address[1]}',
             **request.headers,
@@ -152,14 +191,23 @@
         data += self._http.send(h11.EndOfMessage()) or b''
         self._may_have_sent = True
         await self._sock.sendall(data)
-        return await self._read_response(max_body)
 
-    async def _read_response(self, max_body: int) -> message.Response:
+    async def _read_response(
+        self,
+        max_body: int,
+        stall_timeout: float | None = None,
+    ) -> message.Response:
         status = 0
         headers: dict[str, str] = {}
         body = bytearray()
+        limit = None
+        if stall_timeout is not None:
+            limit = _TransferLimit(
+                stall_timeout,
+                time.monotonic() + MAX_TRANSFER_SECONDS
+            )
         while True:
-            event = await self._next_event()
+            event = await self._next_event(limit)
             if isinstance(event, h11.Response):
                 status = event.status_code
                 headers = message.decode_headers(event)
@@ -173,16 +221,22 @@
             elif isinstance(event, h11.EndOfMessage):
                 return message.Response(status, headers, bytes(body))
 
-    async def _next_event(self) -> h11.Event:
+    async def _next_event(self, limit: _TransferLimit | None) -> h11.Event:
         while True:
             event = self._http.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            data = await self._sock.recv(message.RECEIVE_BYTES)
-            self.received_bytes += len(data)
-            if not data and self._http.their_state is h11.SEND_RESPONSE:
-                raise EOFError('closed before the response')
-            self._http.receive_data(data)
+            if limit is None:
+                await self._receive()
+            else:
+                await curio.timeout_after(limit.seconds(), self._receive)
+
+    async def _receive(self) -> None:
+        data = await self._sock.recv(message.RECEIVE_BYTES)
+        self.received_bytes += len(data)
+        if not data and self._http.their_state is h11.SEND_RESPONSE:
+            raise EOFError('closed before the response')
+        self._http.receive_data(data)
 
     async def _prepare_reuse(self) -> None:
         done = h11.DONE
@@ -257,5 +311,6 @@
     'Connection',
     'ExchangeError',
     'Fault',
+    'MAX_TRANSFER_SECONDS',
     'connect',
 )
--- a/src/nutmegworks/net/pool.py
+++ b/src/nutmegworks/net/pool.py
@@ -44,6 +44,7 @@
         request: message.Request,
         *,
         timeout: float,
+        stall_timeout: float | None = None,
         max_body: int = message.MAX_BODY_BYTES,
         echo_header: str = '',
         fresh: bool = False,
@@ -52,6 +53,7 @@
         """Send a request over an idle or a new connection.
 
         :param timeout: seconds, including the time to connect.
+        :param stall_timeout: as for ``client.Connection.exchange``.
         :param echo_header: name of a request header that the response must
             repeat.
         :param fresh: open a new connection even if one is idle.
@@ -76,6 +78,7 @@
         answer = await connection.exchange(
             request,
             timeout=remaining,
+            stall_timeout=stall_timeout,
             max_body=max_body,
             echo_header=echo_header,
         )
