fleet, platform: the largest value and page of the store are read

Callers would have seen a configuration, or a listing of large jobs, that no host can read.

Cause: answers of the store were limited to 1 MiB, the default of the HTTP client. The store takes values of 1 MiB, which base64 makes 1.4 MB, and pages of about 1 MB. Same class: a fixed limit below what others may send.

Change: the limit follows from the platform's largest value (`valueBytes` in the settings) and the size of a page. The calls of both routes share it.

Measured: test_value_of_the_largest_size_is_read failed on the parent commit and passes; tests/platform and tests/fleet/test_transport.py pass.

--- a/src/nutmegworks/daemon/fleetnode.py
+++ b/src/nutmegworks/daemon/fleetnode.py
@@ -74,6 +74,7 @@
             self._pool,
             self._member_sink.peer_addresses,
             self._metrics,
+            max_value=settings.max_value,
         )
         self._store = metastore.MetadataStore(self._store_transport)
         self._decoder = wire.PlatformDecoder()
--- a/src/nutmegworks/fleet/transport.py
+++ b/src/nutmegworks/fleet/transport.py
@@ -26,6 +26,13 @@
 # An answer to a read may be large: at 5 Mbit/s a value of the largest size
 # takes 2.2 s. Once it arrives, only this time without a byte ends the call.
 STALL_TIMEOUT_SECONDS: typing.Final = 0.8
+# The platform's limit of a value, unless its settings say otherwise.
+DEFAULT_MAX_VALUE_BYTES: typing.Final = 1024 * 1024
+# A page of a listing ends after about this size, and may exceed it by a value.
+PAGE_BYTES: typing.Final = 1_000_000
+# Bytes of an answer for each byte of the values in it: 1.33 for base64, the
+# rest for keys and revisions.
+ENCODED_RATIO: typing.Final = 2
 # Back-off of the direct route after a failure: doubled with each further
 # failure up to the maximum, since each attempt delays a call by its time-out.
 MIN_BACKOFF_SECONDS: typing.Final = 0.5
@@ -72,6 +79,7 @@
 
     :param address: of the store.
     :param peers: returns the addresses of other daemons, best first.
+    :param max_value: bytes of the largest value that the store keeps.
     """
 
     def __init__(
@@ -81,12 +89,14 @@
         peers: typing.Callable[[], typing.Sequence[client.Address]],
         metrics: fleetmetrics.FleetMetrics,
         *,
+        max_value: int = DEFAULT_MAX_VALUE_BYTES,
         clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
         self._metrics = metrics
         self._address = address
         self._pool = connections
         self._peers = peers
+        self._max_answer = ENCODED_RATIO * (PAGE_BYTES + max_value)
         self._clock = clock
         self._direct_retry_at = 0.0
         self._backoff = MIN_BACKOFF_SECONDS
@@ -202,23 +212,14 @@
         request: message.Request,
         timeout: float,
     ) -> message.Response | Failure:
-        answer = await self._pool.exchange(
-            self._address,
-            request,
-            timeout=timeout,
-            stall_timeout=_stall_timeout(request.method),
-        )
+        answer = await self._exchange(self._address, request, timeout)
         if isinstance(answer, result.Err):
             error = answer.err_value
             # The store may have closed an idle connection; only a failure of
             # a new connection indicates that the store is not available.
             if not error.first_use and error.fault is client.Fault.CLOSED:
-                answer = await self._pool.exchange(
-                    self._address,
-                    request,
-                    timeout=timeout,
-                    stall_timeout=_stall_timeout(request.method),
-                    fresh=True,
+                answer = await self._exchange(
+                    self._address, request, timeout, fresh=True
                 )
         if isinstance(answer, result.Err):
             self._record_direct_result(False, answer.err_value.detail)
@@ -232,6 +233,31 @@
         self._record_direct_result(True, '')
         return response
 
+    async def _exchange(
+        self,
+        address: client.Address,
+        request: message.Request,
+        timeout: float,
+        *,
+        reads: bool | None = None,
+        fresh: bool = False,
+    ) -> result.Result[message.Response, client.ExchangeError]:
+        """Send a request over the pool with the limits of the store's answers.
+
+        :param reads: whether the answer may be large; by default that of a
+            GET is.
+        """
+        if reads is None:
+            reads = request.method == 'GET'
+        return await self._pool.exchange(
+            address,
+            request,
+            timeout=timeout,
+            stall_timeout=STALL_TIMEOUT_SECONDS if reads else None,
+            max_body=self._max_answer,
+            fresh=fresh,
+        )
+
     def _record_direct_result(self, up: bool, detail: str) -> None:
         if up:
             self._backoff = MIN_BACKOFF_SECONDS
@@ -264,11 +290,8 @@
         relay_request = message.Request(
             'POST', RELAY_PATH, headers, request.body
         )
-        answer = await self._pool.exchange(
-            address,
-            relay_request,
-            timeout=timeout,
-            stall_timeout=_stall_timeout(request.method),
+        answer = await self._exchange(
+            address, relay_request, timeout, reads=request.method == 'GET'
         )
         if isinstance(answer, result.Err):
             return _failure(answer.err_value)
@@ -282,11 +305,6 @@
         return response
 
 
-def _stall_timeout(method: str) -> float | None:
-    """Return the limit of a pause in an answer, None for short answers."""
-    return STALL_TIMEOUT_SECONDS if method == 'GET' else None
-
-
 def _failure(error: client.ExchangeError) -> Failure:
     effect = interfaces.Effect.NONE
     if error.may_have_reached_peer:
--- a/src/nutmegworks/platform/settings.py
+++ b/src/nutmegworks/platform/settings.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from nutmegworks.fleet import transport
 from nutmegworks.model import ids
 
 # Environment variable, set by the platform, with the path of the file.
@@ -41,6 +42,7 @@
     :param peer_address: address to listen on for other daemons' calls.
     :param store_address: address of the platform's store.
     :param min_lease: shortest lease of the store, in seconds.
+    :param max_value: bytes of the largest value that the store keeps.
     :param cores: processor cores available to this process.
     """
 
@@ -51,6 +53,7 @@
     peer_address: tuple[str, int]
     store_address: tuple[str, int]
     min_lease: float
+    max_value: int
     cores: float
     bounds: Bounds
 
@@ -79,6 +82,7 @@
 class _Store(msgspec.Struct, rename='camel'):
     address: str
     min_ttl_ms: float = 1000
+    value_bytes: int = transport.DEFAULT_MAX_VALUE_BYTES
 
 
 class _File(msgspec.Struct, rename='camel'):
@@ -118,6 +122,7 @@
         peer_address=(file.ip, file.internal_ports[0]),
         store_address=parse_address(file.platform.address),
         min_lease=file.platform.min_ttl_ms / 1000,
+        max_value=file.platform.value_bytes,
         cores=file.limits.cpu_share * file.limits.cores,
         bounds=Bounds(
             max_lease=bounds.max_hold_ms / 1000,
--- a/tests/fleet/test_slow_link.py
+++ b/tests/fleet/test_slow_link.py
@@ -63,3 +63,19 @@
         assert time.monotonic() - started_at < limit
 
     helpers.run(main)
+
+
+def test_value_of_the_largest_size_is_read() -> None:
+    """Guards against a configuration that no host can adopt.
+
+    Answers of the store encode values in base64, which adds a third.
+    """
+
+    async def main() -> None:
+        largest = bytes(transport.DEFAULT_MAX_VALUE_BYTES)
+        listed = await _list(
+            slow_link.SlowStore(slow_link.listing('op/config', largest))
+        )
+        assert [item.value for item in listed.unwrap().items] == [largest]
+
+    helpers.run(main)
