fleet: relayed calls prefer hosts with a wide link

A relaying peer reads the whole answer before it sends the first byte; three in four hosts have a link on which that takes longer than the 0.8 s after which a relay is given up. Peers were chosen at random, and the relayed reads also delayed the calls of the peers' own clients (the log of edge-amman-east-7 has `direct route to store failed` four times).

Ruled out: a longer limit for relays. It would hold every read for seconds when the peer is cut off.

Change: a member's record says how wide its link is; peers of other domains come first as before, and among these the widest links. Older daemons ignore the new field.

--- a/src/nutmegworks/daemon/fleetnode.py
+++ b/src/nutmegworks/daemon/fleetnode.py
@@ -89,7 +89,10 @@
             self._store,
             settings.member_id,
             records.Member(
-                *settings.peer_address, settings.domain_id, settings.cores
+                *settings.peer_address,
+                settings.domain_id,
+                settings.cores,
+                settings.link,
             ),
             self._member_sink,
             min_lease=settings.min_lease,
--- a/src/nutmegworks/fleet/membership.py
+++ b/src/nutmegworks/fleet/membership.py
@@ -86,13 +86,19 @@
         )
 
     def peer_addresses(self) -> list[client.Address]:
-        """Return other daemons at random, those of other domains first."""
+        """Return other daemons, the best to relay calls to the store first.
+
+        Other domains come first, as a fault may affect a whole domain, and in
+        a domain hosts with a wide link. Equal ones are in random order.
+        """
         peers = [
             member for member_id, member in self.members_by_id.items()
             if member_id != self._own_id
         ]
         random.shuffle(peers)
-        peers.sort(key=lambda member: member.domain == self._domain)
+        peers.sort(
+            key=lambda member: (member.domain == self._domain, -member.link)
+        )
         return [(member.host, member.port) for member in peers]
 
 
--- a/src/nutmegworks/platform/settings.py
+++ b/src/nutmegworks/platform/settings.py
@@ -44,6 +44,7 @@
     :param min_lease: shortest lease of the store, in seconds.
     :param max_value: bytes of the largest value that the store keeps.
     :param cores: processor cores available to this process.
+    :param link: megabits a second of the host's network link, 0 if unknown.
     """
 
     member_id: ids.MemberId
@@ -55,6 +56,7 @@
     min_lease: float
     max_value: int
     cores: float
+    link: float
     bounds: Bounds
 
 
@@ -72,6 +74,7 @@
     # core.
     cpu_share: float = 1.0
     cores: float = 1.0
+    link_mbps: float = 0.0
 
 
 class _BindAddresses(msgspec.Struct):
@@ -124,6 +127,7 @@
         min_lease=file.platform.min_ttl_ms / 1000,
         max_value=file.platform.value_bytes,
         cores=file.limits.cpu_share * file.limits.cores,
+        link=file.limits.link_mbps,
         bounds=Bounds(
             max_lease=bounds.max_hold_ms / 1000,
             stop_timeout=bounds.stop_timeout_ms / 1000,
--- a/src/nutmegworks/tasks/records.py
+++ b/src/nutmegworks/tasks/records.py
@@ -101,12 +101,14 @@
     """The address of a daemon, stored under the daemon's lease.
 
     :param cores: processor cores available to the daemon, 0 if unknown.
+    :param link: megabits a second of the host's network link, 0 if unknown.
     """
 
     host: str
     port: int
     domain: str
     cores: float = 0.0
+    link: float = 0.0
 
 
 class Leader(msgspec.Struct, frozen=True):
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -161,7 +161,11 @@
         },
         'internalPorts': [7000, 7015],
         'platform': {
-            'address': '10.9.0.1:4'
+            'address': '10.9.0.1:4',
+            'valueBytes': 2048
+        },
+        'limits': {
+            'linkMbps': 10.0
         },
         'bounds': {
             'maxHoldMs': 9000,
@@ -171,5 +175,7 @@
     }
     decoded = settings.decode(msgspec.json.encode(document))
     assert decoded.peer_address == ('10.1.0.1', 7000)
+    assert decoded.max_value == 2048
+    assert decoded.link == 10.0
     assert decoded.bounds.max_lease == 9.0
     assert decoded.bounds.status_retention == 60
