fleet: logs and metrics tell what is known of a lost run and its worker

`run ended` with `lease expired` was the same for a run whose worker had crashed under it, for one whose worker was only silent, and for one whose start had never arrived.

Change: a run records whether its start was confirmed and whether the incarnation that it was sent to has ended; `run ended` and nutmeg_runs_lost_total show it. No decision depends on it yet. A run that was already released is not lost a second time, so that the metric counts it once.

--- a/src/nutmegworks/fleet/leader.py
+++ b/src/nutmegworks/fleet/leader.py
@@ -193,7 +193,7 @@
             worker=worker.worker_id,
             runs=len(worker.runs_by_key),
         )
-        self._state.lose_reported_runs(worker, 'worker restarted')
+        self._state.lose_reported_runs(worker, 'worker restarted', started)
         worker.forget_clock(
             fleet_worker.prior_leases_expire_at(membership.steady_clock())
         )
--- a/src/nutmegworks/fleet/orders.py
+++ b/src/nutmegworks/fleet/orders.py
@@ -146,6 +146,7 @@
         if outcome is None or run.released:
             return
         if outcome is workers.StartOutcome.STARTED:
+            run.started = True
             if run.phase is table.RunPhase.ORDERED:
                 run.phase = table.RunPhase.RUNNING
                 run.confirmed_at = now
--- a/src/nutmegworks/fleet/reports.py
+++ b/src/nutmegworks/fleet/reports.py
@@ -77,7 +77,9 @@
             self._state.worker_health.reset(worker.worker_id)
             self._state.worker_speeds.reset(worker.worker_id)
         worker.reset_for_incarnation(report.incarnation)
-        self._state.lose_reported_runs(worker, 'worker restarted')
+        self._state.lose_reported_runs(
+            worker, 'worker restarted', report.incarnation
+        )
         # The start requests of the others may have reached the new
         # incarnation. Its reports tell whether they did.
         for run in worker.runs_by_key.values():
--- a/src/nutmegworks/fleet/state.py
+++ b/src/nutmegworks/fleet/state.py
@@ -100,24 +100,37 @@
             worker=run.worker_id,
             reason=reason,
             percent=run.percent,
+            started=run.started,
+            reported=run.reported,
+            worker_ended=run.worker_ended,
             age=round(membership.steady_clock() - run.ordered_at, 3),
         )
 
     def lose_run(self, run: table.Run, reason: str) -> None:
         """Remove a run whose end was not reported, and stop its gang."""
+        if run.released:
+            return
         self.release_run(run, reason)
+        self.metrics.lost_runs.inc(
+            {'worker': 'ended' if run.worker_ended else 'unknown'}
+        )
         self.stop_gang(run, f'a member was lost: {reason}')
 
     def lose_reported_runs(
         self,
         worker: fleet_worker.Worker,
         reason: str,
+        successor: workers.WorkerIncarnation | None = None,
     ) -> None:
         """Remove the runs that an incarnation reported before it ended.
 
         A run that was not reported may have been started by its successor.
+
+        :param successor: the incarnation that follows under the worker's id,
+            None if another worker has its address.
         """
         for run in list(worker.runs_by_key.values()):
+            run.worker_ended = run.incarnation != successor
             if run.reported:
                 self.lose_run(run, reason)
 
--- a/src/nutmegworks/fleet/table.py
+++ b/src/nutmegworks/fleet/table.py
@@ -39,6 +39,9 @@
     :param incarnation: the worker's last one that may have the run.
     :param ordered_at: when the start was decided.
     :param sent: whether a start request may have reached the worker.
+    :param started: the worker confirmed the start, or a report listed the run.
+    :param worker_ended: the incarnation to which it was sent has ended. A
+        later one under the same id may still list the run.
     :param released: the run is over and no longer in the tables.
     :param confirmed_at: when the worker confirmed the start or stop request;
         a report that was asked for later must list the run.
@@ -60,6 +63,8 @@
     phase: RunPhase
     ordered_at: float
     sent: bool = False
+    started: bool = False
+    worker_ended: bool = False
     released: bool = False
     confirmed_at: float | None = None
     progressed_at: float = 0.0
@@ -81,6 +86,8 @@
 
     def record_progress(self, percent: int, saved: str, now: float) -> None:
         """Update the run from a report of its worker."""
+        self.started = True
+        self.worker_ended = False
         if percent != self.percent or self.first_percent is None:
             self.progressed_at = now
         if self.first_percent is None:
--- a/src/nutmegworks/telemetry/fleetmetrics.py
+++ b/src/nutmegworks/telemetry/fleetmetrics.py
@@ -38,6 +38,10 @@
         self.stops = self._counter(
             'nutmeg_stops_total', 'Runs that were stopped.'
         )
+        self.lost_runs = self._counter(
+            'nutmeg_runs_lost_total',
+            'Runs whose end was not reported, by what is known of the worker.',
+        )
         self.jobs_ended = self._counter(
             'nutmeg_jobs_ended_total', 'Ended jobs by queue and state.'
         )
