--- a/tests/fleet/builders.py
+++ b/tests/fleet/builders.py
@@ -7,11 +7,14 @@
 
 import curio
 import msgspec
+import pytest
 
 from nutmegworks.fleet import configuration_holder
 from nutmegworks.fleet import interfaces
 from nutmegworks.fleet import leader
 from nutmegworks.fleet import membership
+from nutmegworks.fleet import worker as fleet_worker
+from nutmegworks.fleet import worker_session
 from nutmegworks.model import ids
 from nutmegworks.platform import wire
 from nutmegworks.tasks import configuration
@@ -21,6 +24,19 @@
 from tests.fleet import memory
 
 SERVICE = 'planner'
+SHORT_LEASE_SECONDS: typing.Final = 0.6
+
+
+def shorten_leases(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Make the leases of lost workers expire within a second."""
+    for name, seconds in (
+        ('LEASE_SECONDS', SHORT_LEASE_SECONDS),
+        ('MAX_LEASE_SECONDS', SHORT_LEASE_SECONDS),
+        ('CLOCK_MARGIN_SECONDS', 0.05),
+        ('REQUEST_TRANSIT_SECONDS', 0.05),
+    ):
+        monkeypatch.setattr(fleet_worker, name, seconds)
+    monkeypatch.setattr(worker_session, 'RETRY_SECONDS', 0.02)
 
 
 def accepted(
--- a/tests/fleet/test_silent_workers.py
+++ b/tests/fleet/test_silent_workers.py
@@ -22,18 +22,14 @@
 
 JOB = ids.JobId('00000000000000aa')
 W1 = ids.WorkerId('w1')
-LEASE_SECONDS = 0.6
+LEASE_SECONDS = builders.SHORT_LEASE_SECONDS
 # The leases of lost workers end within this time.
 EXPIRY_SECONDS = LEASE_SECONDS / fleet_worker.MIN_CLOCK_RATE + 0.5
 
 
 @pytest.fixture(autouse=True)
 def short_leases(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(fleet_worker, 'LEASE_SECONDS', LEASE_SECONDS)
-    monkeypatch.setattr(fleet_worker, 'MAX_LEASE_SECONDS', LEASE_SECONDS)
-    monkeypatch.setattr(fleet_worker, 'CLOCK_MARGIN_SECONDS', 0.05)
-    monkeypatch.setattr(fleet_worker, 'REQUEST_TRANSIT_SECONDS', 0.05)
-    monkeypatch.setattr(worker_session, 'RETRY_SECONDS', 0.02)
+    builders.shorten_leases(monkeypatch)
 
 
 def _fleet(
