fleet, policy: a task under which workers crash is given up

Cause: only ends that a worker lists as `failed` counted against a task. A run that is lost with its worker has no such end, so nothing was counted and the task was started again without limit. Class: a retry that is bounded only for failures that are reported.

Ruled out: a count that a change of leader discards (one leader decided all starts), and failing a job after lost runs alone: a silent worker, a worker that leaves or another task's crash is not the task's fault.

Change: lost runs are counted by task in the progress record, which outlasts a leader, for members of gangs one by one. policy/crash_limit tells three kinds apart: the worker had confirmed the start and ended before its first report (three of them end the job), it ended later, or nothing is known of it (five losses of any kind end the job, so that at most two starts follow a third crash). Workers that leave, and those that answer and don't have the run, don't count. Records of older daemons are read as before; an older leader drops the count.

Looked for elsewhere: start requests that are rejected or not answered end with a lost run or a rejection without a start; stalled runs are stopped and their worker is made a suspect, which was so before. nutmegd does not repeat a job whose worker was lost; its caller is told may-have-run.

--- a/src/nutmegworks/fleet/reports.py
+++ b/src/nutmegworks/fleet/reports.py
@@ -57,7 +57,9 @@
             self._apply_status(worker, status, now)
         for run in list(worker.runs_by_key.values()):
             if run.key not in reported and _must_be_reported(run, sent_at):
-                self._state.lose_run(run, 'not reported by the worker')
+                self._state.lose_run(
+                    run, 'not reported by the worker', worker_answers=True
+                )
         self._check_progress(worker, now)
         if worker.processed > worker.acknowledged:
             await self._acknowledge(worker, worker.processed)
--- a/src/nutmegworks/fleet/state.py
+++ b/src/nutmegworks/fleet/state.py
@@ -12,6 +12,7 @@
 from nutmegworks.fleet import table
 from nutmegworks.fleet import worker as fleet_worker
 from nutmegworks.model import ids
+from nutmegworks.policy import crash_limit
 from nutmegworks.policy import task_durations
 from nutmegworks.policy import worker_health
 from nutmegworks.policy import worker_speeds
@@ -106,8 +107,19 @@
             age=round(membership.steady_clock() - run.ordered_at, 3),
         )
 
-    def lose_run(self, run: table.Run, reason: str) -> None:
-        """Remove a run whose end was not reported, and stop its gang."""
+    def lose_run(
+        self,
+        run: table.Run,
+        reason: str,
+        *,
+        worker_answers: bool = False,
+    ) -> None:
+        """Remove a run whose end was not reported, and stop its gang.
+
+        The job fails if too many workers have crashed under the task.
+
+        :param worker_answers: a report that should list the run does not.
+        """
         if run.released:
             return
         self.release_run(run, reason)
@@ -115,6 +127,56 @@
             {'worker': 'ended' if run.worker_ended else 'unknown'}
         )
         self.stop_gang(run, f'a member was lost: {reason}')
+        self._count_loss(run, worker_answers)
+
+    def _count_loss(self, run: table.Run, worker_answers: bool) -> None:
+        job = self.jobs_by_id.get(run.task.job_id)
+        worker = self.workers_by_id.get(run.worker_id)
+        if job is None or job.final:
+            return
+        loss = crash_limit.classify(
+            crash_limit.LostRun(
+                sent=run.sent,
+                started=run.started,
+                reported=run.reported,
+                worker_ended=run.worker_ended,
+                worker_leaving=(
+                    worker is not None
+                    and worker.entry.state is workers.WorkerState.LEAVING
+                ),
+                worker_answers=worker_answers,
+            )
+        )
+        if loss is None:
+            return
+        name = table.task_name(run.task)
+        losses = job.progress.losses
+        age = membership.steady_clock() - run.ordered_at
+        self.changed_ids.add(job.job_id)
+        if run.step.endless and age > crash_limit.ENDLESS_STABLE_SECONDS:
+            losses.pop(name, None)
+            return
+        before = losses.get(name, records.Losses())
+        at_start = loss is crash_limit.Loss.CRASH_AT_START
+        count = records.Losses(
+            before.crashes_at_start + at_start, before.total + 1
+        )
+        losses[name] = count
+        given_up = crash_limit.is_exhausted(
+            count.crashes_at_start, count.total
+        )
+        _LOG.info(
+            'task lost with its worker',
+            task=run.task.name,
+            run=run.number,
+            worker=run.worker_id,
+            loss=loss.value,
+            crashes_at_start=count.crashes_at_start,
+            losses=count.total,
+            given_up=given_up,
+        )
+        if given_up:
+            self.finish(job, records.JobState.FAILED)
 
     def lose_reported_runs(
         self,
--- a/src/nutmegworks/tasks/records.py
+++ b/src/nutmegworks/tasks/records.py
@@ -73,6 +73,17 @@
     run: int
 
 
+class Losses(msgspec.Struct, frozen=True, array_like=True):
+    """Runs of a task that were lost with their workers.
+
+    :param crashes_at_start: those whose worker crashed at their start.
+    :param total: all lost runs that count.
+    """
+
+    crashes_at_start: int = 0
+    total: int = 0
+
+
 class Progress(msgspec.Struct):
     """The progress of a job's tasks; written only by the leader.
 
@@ -84,6 +95,8 @@
     :param assigned: by task, the worker of the run that has not ended.
     :param last_failed: highest number of a failed run by task or gang.
     :param saved: newest checkpoint by task or gang.
+    :param losses: lost runs by task; also the members of a gang are counted
+        one by one, since one of them may crash its workers.
     :param ended_at: Unix seconds at which the job ended, 0 before.
     """
 
@@ -94,6 +107,7 @@
     runs: dict[str, int] = {}
     assigned: dict[str, Assignment] = {}
     saved: dict[str, str] = {}
+    losses: dict[str, Losses] = {}
     ended_at: float = 0.0
 
 
@@ -163,6 +177,7 @@
     'JobState',
     'LEADER_KEY',
     'Leader',
+    'Losses',
     'MEMBERS_PREFIX',
     'Member',
     'PROGRESS_PREFIX',
--- a/tests/fleet/test_deadly_tasks.py
+++ b/tests/fleet/test_deadly_tasks.py
@@ -1,6 +1,7 @@
 """Tasks under which workers crash, again and again."""
 from __future__ import annotations
 
+import dataclasses
 import typing
 
 import curio
@@ -8,6 +9,7 @@
 
 from nutmegworks.fleet import worker as fleet_worker
 from nutmegworks.model import ids
+from nutmegworks.policy import crash_limit
 from nutmegworks.tasks import records
 from nutmegworks.tasks import workers
 from tests.fleet import builders
@@ -66,6 +68,25 @@
         return outcome
 
 
+class _RestartingWorkers(_CrashingWorkers):
+    """Workers that start again under their id and address after a crash."""
+
+    def crash(self, worker_id: ids.WorkerId) -> None:
+        self._workers += 1
+        self.running_by_id.pop(worker_id, None)
+        builders.put_worker(self._store, worker_id, born=self._workers)
+
+    async def renew(self, worker, token, acknowledged, *, lease_until, wait):
+        answer = await super().renew(
+            worker, token, acknowledged, lease_until=lease_until, wait=wait
+        )
+        # The report may arrive before the leader sees the new entry.
+        born = workers.WorkerIncarnation(self._workers)
+        return answer.map(
+            lambda report: dataclasses.replace(report, incarnation=born)
+        )
+
+
 def _put_job(store: memory.MemoryStore) -> None:
     builders.put_job(store, JOB, builders.accepted(attempts=4))
 
@@ -125,3 +146,62 @@
         assert len(fleet.starts) <= MAX_STARTS
 
     helpers.run(main)
+
+
+def test_task_goes_on_after_two_crashes() -> None:
+    """Guards against a sound task that is given up with its workers."""
+
+    async def main() -> None:
+        store = memory.MemoryStore()
+        fleet = _CrashingWorkers(store)
+        _put_job(store)
+        async with builders.running_term(store, fleet):
+            await builders.wait_until(lambda: len(fleet.starts) == 2, 20.0)
+            fleet.crashes = False
+            await builders.wait_until(lambda: len(fleet.starts) == 3, 20.0)
+            builders.end_all_runs(fleet, workers.EndKind.DONE)
+            await builders.wait_until(
+                lambda: _state(store) is records.JobState.SUCCEEDED
+            )
+
+    helpers.run(main)
+
+
+def test_runs_at_work_on_a_crashed_worker_are_not_to_blame() -> None:
+    """Guards against jobs that fail because others crash their workers."""
+
+    async def main() -> None:
+        store = memory.MemoryStore()
+        fleet = _CrashingWorkers(store)
+        fleet.crashes = False
+        _put_job(store)
+        async with builders.running_term(store, fleet) as term:
+            for number in range(crash_limit.MAX_CRASHES_AT_START):
+                await builders.wait_until(
+                    lambda: any(
+                        run.reported
+                        for job in term.state.jobs_by_id.values()
+                        for run in job.runs_by_task.values()
+                    ), 20.0
+                )
+                fleet.crash(ids.WorkerId(f'w{number + 1}'))
+                await builders.wait_until(
+                    lambda: len(fleet.starts) == number + 2, 20.0
+                )
+            assert _state(store) is records.JobState.ACTIVE
+
+    helpers.run(main)
+
+
+def test_worker_that_restarts_under_its_id_counts_as_crashed() -> None:
+    """Guards against crashes that are seen only as a later start."""
+
+    async def main() -> None:
+        store = memory.MemoryStore()
+        fleet = _RestartingWorkers(store)
+        _put_job(store)
+        async with builders.running_term(store, fleet):
+            await _wait_until_failed(store)
+        assert len(fleet.starts) <= MAX_STARTS
+
+    helpers.run(main)
