--- a/tests/fleet/test_scheduler.py
+++ b/tests/fleet/test_scheduler.py
@@ -61,3 +61,40 @@
             await curio.sleep(0)
 
     helpers.run(main)
+
+
+def test_nothing_starts_beyond_a_capacity_that_shrank() -> None:
+    """Guards against a worker that gets more than it can hold.
+
+    Its capacity shrinks while it runs a task, and grows again later.
+    """
+
+    async def main() -> None:
+        store = memory.MemoryStore()
+        builders.put_worker(store, 'w1')
+        fleet = memory.MemoryWorkers()
+        async with builders.running_term(store, fleet) as term:
+            builders.put_job(
+                store, 'a1', builders.accepted(builders.step(gpu=4))
+            )
+            await builders.wait_until(lambda: fleet.starts)
+            builders.put_worker(
+                store,
+                'w1',
+                capacity={
+                    'cpu': 128000,
+                    'memMb': 512000,
+                    'gpu': 4
+                },
+            )
+            worker = term.state.workers_by_id[ids.WorkerId('w1')]
+            await builders.wait_until(
+                lambda: worker.entry.resources.accelerators == 4
+            )
+            builders.put_job(store, URGENT, builders.accepted())
+            await curio.sleep(0.5)
+            assert len(fleet.starts) == 1
+            builders.put_worker(store, 'w1')
+            await builders.wait_until(lambda: len(fleet.starts) == 2)
+
+    helpers.run(main)
