--- a/src/nutmegworks/fleet/prefix_watcher.py
+++ b/src/nutmegworks/fleet/prefix_watcher.py
@@ -64,7 +64,7 @@
         self._read_at = time.monotonic()
 
     def age(self) -> float:
-        """Return seconds since the last read that was answered was sent.
+        """Return the seconds since the last answered read was sent.
 
         The sink has every change that is older, unless the store compacted
         its history meanwhile.
