tests: the end of an unseen incarnation is acknowledged unprocessed (red)

Numbers start anew with each incarnation, so a worker that has restarted under its id unseen forgets an end that nobody has processed, and its task is started a second time. The test holds a renewal, restarts the worker and ends a run before the renewal arrives.

No change of code.

--- a/tests/fleet/test_silent_workers.py
+++ b/tests/fleet/test_silent_workers.py
@@ -1,6 +1,7 @@
 """Workers that stop answering while tasks run on them."""
 from __future__ import annotations
 
+import dataclasses
 import time
 import typing
 
@@ -395,3 +396,62 @@
 
     assert not worker.lease_expired(101.0 + LEASE_SECONDS)
     assert worker.lease_expired(101.0 + EXPIRY_SECONDS)
+
+
+class _UnseenRestart(memory.MemoryWorkers):
+    """A worker that starts again under its id while a renewal is on its way.
+
+    :ivar held: renewals do not arrive.
+    :ivar held_acknowledged: last end that a held renewal acknowledges.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.held = False
+        self.held_acknowledged = 0
+        self._born = 1
+
+    def restart(self) -> None:
+        self._born += 1
+        self.running_by_id.clear()
+        self.ended_by_id.clear()
+        self.number_by_id.clear()
+
+    async def renew(self, worker, token, acknowledged, *, lease_until, wait):
+        while self.held:
+            self.held_acknowledged = acknowledged
+            await curio.sleep(memory.POLL_SECONDS)
+        answer = await super().renew(
+            worker, token, acknowledged, lease_until=lease_until, wait=wait
+        )
+        born = workers.WorkerIncarnation(self._born)
+        return answer.map(
+            lambda report: dataclasses.replace(report, incarnation=born)
+        )
+
+
+def test_end_of_an_unseen_incarnation_is_not_acknowledged() -> None:
+    """Guards against a second run of a task whose end was acknowledged.
+
+    The numbers of ends start anew with each incarnation of a worker.
+    """
+
+    async def main() -> None:
+        store, _ = _fleet('w1')
+        fleet = _UnseenRestart()
+        async with builders.running_term(store, fleet) as term:
+            await _start_job(store, fleet)
+            builders.end_all_runs(fleet, workers.EndKind.DONE)
+            worker = term.state.workers_by_id[W1]
+            await builders.wait_until(lambda: worker.acknowledged)
+            fleet.held = True
+            await builders.wait_until(lambda: fleet.held_acknowledged)
+            fleet.restart()
+            builders.put_job(store, 'bb', builders.accepted())
+            await builders.wait_until(lambda: len(fleet.starts) == 2)
+            builders.end_all_runs(fleet, workers.EndKind.DONE)
+            fleet.held = False
+            await curio.sleep(2 * LEASE_SECONDS)
+            assert len(fleet.starts) == 2
+
+    helpers.run(main)
