fleet: no start request and no acknowledgement of ends are under way together

Cause: a renewal names no incarnation of its worker, but the numbers of ends start anew with each. Ruled out: acknowledging nothing while a run is unreported, alone: the renewal may have been sent before the start. Acting on the report of the new incarnation: it does not tell whether a task ended well, failed or never began.

--- a/src/nutmegworks/fleet/orders.py
+++ b/src/nutmegworks/fleet/orders.py
@@ -29,6 +29,8 @@
 # Interval at which a leader checks whether it may send requests again, after
 # its lease was not renewed in time.
 MAY_ORDER_POLL_SECONDS: typing.Final = 0.1
+# A worker answers an acknowledgement in a few milliseconds.
+ACKNOWLEDGEMENT_POLL_SECONDS: typing.Final = 0.005
 
 # Outcomes of a start request after which the run cannot have started, and
 # those after which the request is repeated.
@@ -87,8 +89,7 @@
     async def _start_run(self, job: table.Job, run: table.Run) -> None:
         fresh = False
         for _ in range(START_ATTEMPTS):
-            while not self._member.may_act_as_leader():
-                await curio.sleep(MAY_ORDER_POLL_SECONDS)
+            await self._wait_until_allowed(run)
             outcome = await self._try_start(job, run, fresh)
             if outcome not in _RETRY:
                 await self._apply_outcome(job, run, outcome, fresh)
@@ -107,6 +108,16 @@
         self._withdraw(run, 'no answer')
         await self._state.notify()
 
+    async def _wait_until_allowed(self, run: table.Run) -> None:
+        while True:
+            if not self._member.may_act_as_leader():
+                await curio.sleep(MAY_ORDER_POLL_SECONDS)
+                continue
+            worker = self._state.workers_by_id.get(run.worker_id)
+            if worker is None or worker.may_start(membership.steady_clock()):
+                return
+            await curio.sleep(ACKNOWLEDGEMENT_POLL_SECONDS)
+
     async def _try_start(
         self,
         job: table.Job,
--- a/src/nutmegworks/fleet/worker.py
+++ b/src/nutmegworks/fleet/worker.py
@@ -65,6 +65,11 @@
     :param lease_sent_at: when the last request with a lease was sent.
     :param processed: number of the last end that was processed.
     :param acknowledged: number of the last end that is stored.
+    :param confirmed: number of the last end whose acknowledgement the worker
+        has answered.
+    :param acknowledging: a renewal that acknowledges ends awaits its answer.
+    :param acknowledgement_expires_at: until then a renewal that acknowledged
+        ends and was not answered may reach the worker.
     :param paused_until: until then it gets no work, because it rejected a
         start request.
     :param unanswered_at: when it last did not answer a start request or a
@@ -83,6 +88,9 @@
     lease_sent_at: float = -math.inf
     processed: int = 0
     acknowledged: int = 0
+    confirmed: int = 0
+    acknowledging: bool = False
+    acknowledgement_expires_at: float = -math.inf
     paused_until: float = 0.0
     unanswered_at: float = -math.inf
     runs_by_key: dict[RunKey,
@@ -126,6 +134,45 @@
         self.lease_sent_at = now
         return self.lease_sent
 
+    @property
+    def awaits_acknowledgement(self) -> bool:
+        """Whether the worker still lists ends that are stored."""
+        return self.acknowledged > self.confirmed
+
+    def begin_acknowledgement(self, now: float) -> int:
+        """Return the end that a renewal sent now acknowledges.
+
+        The numbers of ends start anew with each incarnation, so an
+        acknowledgement must not reach an incarnation that has ends of its own.
+        A run that no report has listed may be in a later incarnation than the
+        known one; until a report lists it nothing is acknowledged.
+
+        :return: number of the last acknowledged end, 0 for none.
+        """
+        if not self.awaits_acknowledgement or any(
+                run.sent and not run.reported
+                for run in self.runs_by_key.values()):
+            return 0
+        self.acknowledging = True
+        self.acknowledgement_expires_at = now + REQUEST_TRANSIT_SECONDS
+        return self.acknowledged
+
+    def end_acknowledgement(self, number: int, answered: bool) -> None:
+        """Record whether a renewal that acknowledged ends was answered."""
+        self.acknowledging = False
+        if answered:
+            self.confirmed = max(self.confirmed, number)
+            self.acknowledgement_expires_at = -math.inf
+
+    def may_start(self, now: float) -> bool:
+        """Return whether no acknowledgement can meet a run that starts now.
+
+        See ``begin_acknowledgement``.
+        """
+        return (
+            not self.acknowledging and now >= self.acknowledgement_expires_at
+        )
+
     def all_leases_expired(self, now: float) -> bool:
         """Return whether no incarnation can have a lease any more.
 
@@ -161,6 +208,7 @@
         self.incarnation = incarnation
         self.processed = 0
         self.acknowledged = 0
+        self.confirmed = 0
         self.lease_sent = 0
         self.paused_until = 0.0
         # Requests to the previous incarnation may have given it a lease.
--- a/src/nutmegworks/fleet/worker_session.py
+++ b/src/nutmegworks/fleet/worker_session.py
@@ -6,6 +6,7 @@
 
 import curio
 import logbook
+import result
 
 from nutmegworks.fleet import interfaces
 from nutmegworks.fleet import journal
@@ -20,6 +21,8 @@
 # queried more often, because their progress reveals stalled tasks.
 BUSY_WAIT_SECONDS: typing.Final = 1.0
 IDLE_WAIT_SECONDS: typing.Final = 2.0
+# While an end waits to be acknowledged because a run has not been reported.
+UNREPORTED_WAIT_SECONDS: typing.Final = 0.1
 RETRY_SECONDS: typing.Final = 0.25
 # Pause after a renewal that reported no newly ended run.
 RENEW_PAUSE_SECONDS: typing.Final = 0.05
@@ -99,10 +102,13 @@
             )
             await self._listener.handle_lease_expiry(worker)
 
-    def _report_wait(self) -> float:
+    def _report_wait(self, acknowledged: int) -> float:
         worker = self._worker
-        if worker.silent:
+        # Starts wait for the answer to an acknowledgement.
+        if worker.silent or acknowledged:
             return 0.0
+        if worker.awaits_acknowledgement:
+            return UNREPORTED_WAIT_SECONDS
         if worker.runs_by_key:
             return BUSY_WAIT_SECONDS
         return IDLE_WAIT_SECONDS
@@ -111,13 +117,7 @@
         worker = self._worker
         sent_at = membership.steady_clock()
         processed = worker.processed
-        answer = await self._client.renew(
-            worker.entry,
-            self._token,
-            worker.acknowledged,
-            lease_until=worker.renewal_lease(sent_at),
-            wait=self._report_wait(),
-        )
+        answer = await self._request_report(sent_at)
         if answer.is_err():
             await self._handle_error(answer.err_value)
             return
@@ -131,6 +131,27 @@
         if worker.processed == processed:
             await curio.sleep(RENEW_PAUSE_SECONDS)
 
+    async def _request_report(
+        self,
+        sent_at: float,
+    ) -> result.Result[workers.Report | None, interfaces.CallError]:
+        worker = self._worker
+        acknowledged = worker.begin_acknowledgement(sent_at)
+        answered = False
+        try:
+            answer = await self._client.renew(
+                worker.entry,
+                self._token,
+                acknowledged,
+                lease_until=worker.renewal_lease(sent_at),
+                wait=self._report_wait(acknowledged),
+            )
+            answered = answer.is_ok()
+            return answer
+        finally:
+            if acknowledged:
+                worker.end_acknowledgement(acknowledged, answered)
+
     async def _handle_error(self, error: interfaces.CallError) -> None:
         worker = self._worker
         worker.unanswered_at = membership.steady_clock()
