fleet, policy: routes to the store are tested beside the calls and tried side by side

Change: policy/store_routes orders the routes by what is known of each and of the peers' domains; fleet/attempts tries a second route after 0.4 s and tells waiting calls of changes; fleet/transport probes a direct route that is down. Tests: tests/fleet/test_outage_and_cut.py (2.96 s on the former code, 2 s allowed), tests/policy/test_store_routes.py; the order by links moved there from test_membership.

--- a/src/nutmegworks/daemon/fleetnode.py
+++ b/src/nutmegworks/daemon/fleetnode.py
@@ -65,15 +65,15 @@
         self._settings = settings
         self._stopping = False
         self._pool = pool.Pool(idle_timeout=CONNECTION_IDLE_SECONDS)
-        self._member_sink = membership.MemberSink(
-            settings.member_id, settings.domain_id
-        )
+        self._member_sink = membership.MemberSink(settings.member_id)
         self._metrics = fleetmetrics.FleetMetrics()
         self._store_transport = transport.Transport(
             settings.store_address,
             self._pool,
-            self._member_sink.peer_addresses,
+            self._member_sink.relay_peers,
+            settings.domain_id,
             self._metrics,
+            probe_target=metastore.item_target(records.LEADER_KEY),
             max_value=settings.max_value,
         )
         self._store = metastore.MetadataStore(self._store_transport)
@@ -240,6 +240,7 @@
             await self._client_server.start(*self._settings.client_address)
             _LOG.info('serving clients', address=self._client_server.address)
             await supervision.run_until_first(
+                self._store_transport.run,
                 self._configuration_watcher.run,
                 self._make_watcher(
                     records.CONTROL_PREFIX,
--- a/src/nutmegworks/fleet/interfaces.py
+++ b/src/nutmegworks/fleet/interfaces.py
@@ -168,8 +168,13 @@
         transaction: Transaction,
         *,
         timeout: float | None = None,
+        repeatable: bool = False,
     ) -> result.Result[Commit, StoreError]:
-        ...
+        """Commit a transaction.
+
+        :param repeatable: the caller recognizes a conflict with an earlier
+            copy of the same transaction, so it may be sent twice.
+        """
 
     @abc.abstractmethod
     async def grant_lease(
--- a/src/nutmegworks/fleet/journal.py
+++ b/src/nutmegworks/fleet/journal.py
@@ -124,7 +124,7 @@
                 writes,
                 removed,
             )
-            result = await self._store.commit(transaction)
+            result = await self._store.commit(transaction, repeatable=True)
             if result.is_err():
                 _LOG.info(
                     'journal write failed', detail=result.err_value.detail
--- a/src/nutmegworks/fleet/membership.py
+++ b/src/nutmegworks/fleet/membership.py
@@ -17,7 +17,7 @@
 from nutmegworks.fleet import interfaces
 from nutmegworks.fleet import prefix_watcher
 from nutmegworks.model import ids
-from nutmegworks.net import client
+from nutmegworks.policy import store_routes
 from nutmegworks.tasks import records
 
 _LOG: typing.Final = logbook.Logger('membership')
@@ -49,9 +49,8 @@
 class MemberSink(prefix_watcher.Sink):
     """Tracks the daemons that are registered in the store."""
 
-    def __init__(self, own_id: ids.MemberId, domain: ids.DomainId) -> None:
+    def __init__(self, own_id: ids.MemberId) -> None:
         self._own_id = own_id
-        self._domain = domain
         self.members_by_id: dict[ids.MemberId, records.Member] = {}
 
     async def replace(self, items: typing.Sequence[interfaces.Item]) -> None:
@@ -85,21 +84,18 @@
             if other_id != self._own_id and member.cores > 0
         )
 
-    def peer_addresses(self) -> list[client.Address]:
-        """Return other daemons, the best to relay calls to the store first.
-
-        Other domains come first, as a fault may affect a whole domain, and in
-        a domain hosts with a wide link. Equal ones are in random order.
-        """
+    def relay_peers(self) -> list[store_routes.Peer]:
+        """Return other hosts that can relay calls, in random order."""
         peers = [
-            member for member_id, member in self.members_by_id.items()
+            store_routes.Peer(
+                (member.host, member.port), ids.DomainId(member.domain),
+                member.link
+            )
+            for member_id, member in self.members_by_id.items()
             if member_id != self._own_id
         ]
         random.shuffle(peers)
-        peers.sort(
-            key=lambda member: (member.domain == self._domain, -member.link)
-        )
-        return [(member.host, member.port) for member in peers]
+        return peers
 
 
 def _member_id(key: str) -> ids.MemberId:
--- a/src/nutmegworks/fleet/transport.py
+++ b/src/nutmegworks/fleet/transport.py
@@ -1,22 +1,27 @@
 """Sends calls to the store, directly or relayed by a peer daemon.
 
-The store may refuse one host while it serves the others, so a call that
-failed over the direct route is sent again through a peer.
+The store may refuse one host while it serves the others, so a call that gets
+no answer over the direct route is sent again through a peer. While the direct
+route is down, a probe beside the calls finds out when it is back.
 """
 from __future__ import annotations
 
 import dataclasses
-import functools
+import random
 import time
 import typing
 
+import curio
 import logbook
 import result
 
+from nutmegworks.fleet import attempts
 from nutmegworks.fleet import interfaces
+from nutmegworks.model import ids
 from nutmegworks.net import client
 from nutmegworks.net import message
 from nutmegworks.net import pool
+from nutmegworks.policy import store_routes
 from nutmegworks.telemetry import fleetmetrics
 
 _LOG: typing.Final = logbook.Logger('transport')
@@ -33,10 +38,17 @@
 # Bytes of an answer for each byte of the values in it: 1.33 for base64, the
 # rest for keys and revisions.
 ENCODED_RATIO: typing.Final = 2
-# Back-off of the direct route after a failure: doubled with each further
-# failure up to the maximum, since each attempt delays a call by its time-out.
-MIN_BACKOFF_SECONDS: typing.Final = 0.5
-MAX_BACKOFF_SECONDS: typing.Final = 2.0
+# Hosts of a deployment are milliseconds apart.
+CONNECT_TIMEOUT_SECONDS: typing.Final = 0.3
+# Routes that a call tries.
+MAX_ROUTES: typing.Final = 3
+# Interval of the probes of a direct route that is down, varied by up to a
+# quarter, because all hosts lose the store at the same time.
+PROBE_INTERVAL_SECONDS: typing.Final = 0.4
+PROBE_JITTER: typing.Final = 0.25
+# Calls that wait are told of the failure if a probe gets no answer in this
+# time.
+CONFIRMATION_SECONDS: typing.Final = 0.2
 # A lease is renewed every 0.5 s, so an available store answers some call
 # within this time even when it is slow.
 DOWN_AFTER_SECONDS: typing.Final = 1.2
@@ -68,17 +80,13 @@
     reached: bool
 
 
-Route = typing.Callable[
-    [message.Request, float],
-    typing.Awaitable[message.Response | Failure],
-]
-
-
 class Transport:
     """Sends calls to the store over the best available route.
 
     :param address: of the store.
-    :param peers: returns the addresses of other daemons, best first.
+    :param peers: returns the other hosts; equal ones are tried in this order.
+    :param own_domain: failure domain of this host.
+    :param probe_target: target of a GET with a short answer.
     :param max_value: bytes of the largest value that the store keeps.
     """
 
@@ -86,9 +94,11 @@
         self,
         address: client.Address,
         connections: pool.Pool,
-        peers: typing.Callable[[], typing.Sequence[client.Address]],
+        peers: typing.Callable[[], typing.Sequence[store_routes.Peer]],
+        own_domain: ids.DomainId,
         metrics: fleetmetrics.FleetMetrics,
         *,
+        probe_target: str,
         max_value: int = DEFAULT_MAX_VALUE_BYTES,
         clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
@@ -96,11 +106,12 @@
         self._address = address
         self._pool = connections
         self._peers = peers
+        self._probe_target = probe_target
         self._max_answer = ENCODED_RATIO * (PAGE_BYTES + max_value)
         self._clock = clock
-        self._direct_retry_at = 0.0
-        self._backoff = MIN_BACKOFF_SECONDS
-        self._direct_is_up = True
+        self._routes = store_routes.RouteTable(own_domain)
+        self._changes = attempts.RouteChanges()
+        self._direct_failed = curio.Event()
         self._last_answer = clock()
         self._isolated_since: float | None = None
 
@@ -133,55 +144,169 @@
             begins to arrive.
         :param idempotent: the call may take effect twice; otherwise the next
             route is tried only if the call certainly had no effect.
-        :param allow_relay: use a peer after the direct route has failed.
+        :param allow_relay: use a peer after the direct route has failed;
+            otherwise one route is tried, for as long as it is not known to
+            have failed.
         """
         request = message.Request(
             method, target, {'content-type': 'application/json'}, body
         )
-        failures = []
-        routes = self._routes()
-        for route in routes if allow_relay else routes[:1]:
-            outcome = await route(request, timeout)
-            self._count_outcome(route, outcome)
+        routes = self._routes.choose(self._peers(), self._clock(),
+                                     MAX_ROUTES)[:None if allow_relay else 1]
+        if idempotent:
+            response, failures = await self._try_side_by_side(
+                routes, request, timeout
+            )
+        else:
+            response, failures = await self._try_in_turn(
+                routes, request, timeout
+            )
+        if response is None:
+            return result.Err(self._summarize(failures))
+        self._last_answer = self._clock()
+        self._isolated_since = None
+        return result.Ok(response)
+
+    async def _try_side_by_side(
+        self,
+        routes: typing.Sequence[store_routes.Route],
+        request: message.Request,
+        timeout: float,
+    ) -> tuple[message.Response | None, list[Failure]]:
+
+        async def send(attempt: attempts.Attempt) -> Outcome:
+
+            def begin() -> None:
+                attempt.begun = True
+
+            return await self._send(attempt.route, request, timeout, begin)
+
+        response, tried = await attempts.Attempts(
+            self._routes, self._changes, send, clock=self._clock
+        ).run(routes)
+        await self._record_given_up(tried, response is not None)
+        return response, [
+            attempt.outcome or Failure(
+                interfaces.Effect.UNKNOWN, 'given up: the route has failed',
+                False
+            )
+            for attempt in tried
+            if not isinstance(attempt.outcome, message.Response)
+        ]
+
+    async def _record_given_up(
+        self,
+        tried: typing.Sequence[attempts.Attempt],
+        answered: bool,
+    ) -> None:
+        """Record routes that another one outran as failed."""
+        for attempt in tried:
+            waited = self._clock() - attempt.started_at
+            if (answered and attempt.outcome is None and not attempt.begun
+                    and waited > attempts.NEXT_ROUTE_SECONDS):
+                await self._record(
+                    attempt.route,
+                    Failure(
+                        interfaces.Effect.UNKNOWN,
+                        f'no answer in {waited:.3f} s, another route answered',
+                        False,
+                    ),
+                    attempt.started_at,
+                )
+
+    async def _try_in_turn(
+        self,
+        routes: typing.Sequence[store_routes.Route],
+        request: message.Request,
+        timeout: float,
+    ) -> tuple[message.Response | None, list[Failure]]:
+        failures: list[Failure] = []
+        for route in routes:
+            outcome = await self._send(route, request, timeout)
             if isinstance(outcome, message.Response):
-                self._last_answer = self._clock()
-                self._isolated_since = None
-                return result.Ok(outcome)
+                return outcome, failures
             failures.append(outcome)
-            may_have_effect = outcome.effect is interfaces.Effect.UNKNOWN
-            if may_have_effect and not idempotent:
+            if outcome.effect is interfaces.Effect.UNKNOWN:
                 break
-        return result.Err(self._summarize(failures))
+        return None, failures
 
-    def _count_outcome(
+    async def _send(
         self,
-        route: Route,
+        route: store_routes.Route,
+        request: message.Request,
+        timeout: float,
+        on_first_byte: typing.Callable[[], None] | None = None,
+    ) -> message.Response | Failure:
+        if route is store_routes.DIRECT:
+            return await self._direct(request, timeout, on_first_byte)
+        started_at = self._clock()
+        outcome = await self._relay(
+            route.address, request, timeout, on_first_byte
+        )
+        await self._record(route, outcome, started_at)
+        return outcome
+
+    async def _record(
+        self,
+        route: store_routes.Route,
         outcome: message.Response | Failure,
+        started_at: float,
     ) -> None:
+        """Record the result of a route and tell it to waiting calls."""
+        was_up = self._routes.direct_is_up
         answered = isinstance(outcome, message.Response)
+        direct = route is store_routes.DIRECT
         self._metrics.store_calls.inc(
             {
-                'route': 'direct' if route == self._direct else 'relay',
+                'route': 'direct' if direct else 'relay',
                 'outcome': 'answered' if answered else 'failed',
             }
         )
-
-    def _routes(self) -> list[Route]:
-        """Return the routes to try, the best one first."""
-        peers = list(self._peers())
-        now = self._clock()
-        relays = [
-            functools.partial(self._relay, address) for address in peers[:1]
-        ]
-        if self._direct_is_up:
-            return [self._direct, *relays]
-        if now >= self._direct_retry_at or not relays:
-            # Only one call probes the route; the others use a relay at once.
-            self._direct_retry_at = now + self._backoff
-            return [self._direct, *relays]
-        return [
-            functools.partial(self._relay, address) for address in peers[:2]
-        ]
+        if answered:
+            self._routes.record_answer(route, self._clock())
+        else:
+            self._routes.record_failure(
+                route,
+                self._clock(),
+                started_at=started_at,
+                unreachable=not outcome.reached,
+            )
+        is_up = self._routes.direct_is_up
+        if was_up != is_up:
+            _LOG.info(
+                'direct route to store restored'
+                if is_up else 'direct route to store failed',
+                detail='' if answered else outcome.detail,
+                silence=round(self.seconds_since_answer(), 3)
+            )
+            if not is_up:
+                await self._direct_failed.set()
+        failed_peer = not answered and not direct
+        if (is_up and not was_up) or failed_peer:
+            await self._changes.notify()
+
+    async def run(self) -> None:
+        """Probe the direct route while it is down, until cancelled."""
+        while True:
+            await self._direct_failed.wait()
+            self._direct_failed.clear()
+            # One lost answer must not end the watches that wait.
+            await curio.spawn(self._probe, daemon=True)
+            await curio.sleep(CONFIRMATION_SECONDS)
+            while not self._routes.direct_is_up:
+                await self._changes.notify()
+                spread = random.uniform(1 - PROBE_JITTER, 1 + PROBE_JITTER)
+                await curio.sleep(PROBE_INTERVAL_SECONDS * spread)
+                await curio.spawn(self._probe, daemon=True)
+
+    async def _probe(self) -> None:
+        outcome = await self._direct(
+            message.Request('GET', self._probe_target, {}),
+            CALL_TIMEOUT_SECONDS,
+        )
+        if isinstance(outcome, message.Response):
+            self._last_answer = self._clock()
+            self._isolated_since = None
 
     def _summarize(
         self,
@@ -204,33 +329,58 @@
         request: message.Request,
         timeout: float,
     ) -> message.Response | Failure:
-        """Send a call on behalf of a peer over the direct route only."""
+        """Send a call on behalf of a peer over the direct route only.
+
+        While that is down the call fails at once, so that the peer can take
+        another route.
+        """
+        if not self._routes.direct_is_up:
+            return Failure(
+                interfaces.Effect.NONE, 'direct route to store is down', False
+            )
         return await self._direct(request, timeout)
 
     async def _direct(
         self,
         request: message.Request,
         timeout: float,
+        on_first_byte: typing.Callable[[], None] | None = None,
+    ) -> message.Response | Failure:
+        started_at = self._clock()
+        outcome = await self._exchange_with_store(
+            request, timeout, on_first_byte
+        )
+        await self._record(store_routes.DIRECT, outcome, started_at)
+        return outcome
+
+    async def _exchange_with_store(
+        self,
+        request: message.Request,
+        timeout: float,
+        on_first_byte: typing.Callable[[], None] | None,
     ) -> message.Response | Failure:
-        answer = await self._exchange(self._address, request, timeout)
+        answer = await self._exchange(
+            self._address, request, timeout, on_first_byte=on_first_byte
+        )
         if isinstance(answer, result.Err):
             error = answer.err_value
             # The store may have closed an idle connection; only a failure of
             # a new connection indicates that the store is not available.
             if not error.first_use and error.fault is client.Fault.CLOSED:
                 answer = await self._exchange(
-                    self._address, request, timeout, fresh=True
+                    self._address,
+                    request,
+                    timeout,
+                    fresh=True,
+                    on_first_byte=on_first_byte,
                 )
         if isinstance(answer, result.Err):
-            self._record_direct_result(False, answer.err_value.detail)
             return _failure(answer.err_value)
         response = answer.ok_value
         if response.status in _OVERLOADED:
-            self._record_direct_result(False, f'status {response.status}')
             return Failure(
                 interfaces.Effect.NONE, f'status {response.status}', True
             )
-        self._record_direct_result(True, '')
         return response
 
     async def _exchange(
@@ -241,6 +391,7 @@
         *,
         reads: bool | None = None,
         fresh: bool = False,
+        on_first_byte: typing.Callable[[], None] | None = None,
     ) -> result.Result[message.Response, client.ExchangeError]:
         """Send a request over the pool with the limits of the store's answers.
 
@@ -253,34 +404,19 @@
             address,
             request,
             timeout=timeout,
+            connect_timeout=CONNECT_TIMEOUT_SECONDS,
             stall_timeout=STALL_TIMEOUT_SECONDS if reads else None,
             max_body=self._max_answer,
             fresh=fresh,
+            on_first_byte=on_first_byte,
         )
 
-    def _record_direct_result(self, up: bool, detail: str) -> None:
-        if up:
-            self._backoff = MIN_BACKOFF_SECONDS
-        else:
-            self._direct_retry_at = self._clock() + self._backoff
-            self._backoff = min(MAX_BACKOFF_SECONDS, 2 * self._backoff)
-        if up != self._direct_is_up:
-            self._direct_is_up = up
-            event = (
-                'direct route to store restored'
-                if up else 'direct route to store failed'
-            )
-            _LOG.info(
-                event,
-                detail=detail,
-                silence=round(self.seconds_since_answer(), 3)
-            )
-
     async def _relay(
         self,
         address: client.Address,
         request: message.Request,
         timeout: float,
+        on_first_byte: typing.Callable[[], None] | None,
     ) -> message.Response | Failure:
         headers = {
             METHOD_HEADER: request.method,
@@ -291,7 +427,11 @@
             'POST', RELAY_PATH, headers, request.body
         )
         answer = await self._exchange(
-            address, relay_request, timeout, reads=request.method == 'GET'
+            address,
+            relay_request,
+            timeout,
+            reads=request.method == 'GET',
+            on_first_byte=on_first_byte,
         )
         if isinstance(answer, result.Err):
             return _failure(answer.err_value)
--- a/src/nutmegworks/net/client.py
+++ b/src/nutmegworks/net/client.py
@@ -93,6 +93,7 @@
         )
         self._open = True
         self._may_have_sent = False
+        self._on_first_byte: typing.Callable[[], None] | None = None
 
     @property
     def reusable(self) -> bool:
@@ -106,6 +107,7 @@
         stall_timeout: float | None = None,
         max_body: int = message.MAX_BODY_BYTES,
         echo_header: str = '',
+        on_first_byte: typing.Callable[[], None] | None = None,
     ) -> result.Result[message.Response, ExchangeError]:
         """Send a request and read its whole response.
 
@@ -116,9 +118,11 @@
         :param max_body: bytes of response body that are accepted.
         :param echo_header: name of a request header that the response must
             repeat.
+        :param on_first_byte: called when the response begins.
         """
         self._may_have_sent = False
         self.received_bytes = 0
+        self._on_first_byte = on_first_byte
         succeeded = False
         try:
             if stall_timeout is None:
@@ -233,6 +237,8 @@
 
     async def _receive(self) -> None:
         data = await self._sock.recv(message.RECEIVE_BYTES)
+        if not self.received_bytes and self._on_first_byte is not None:
+            self._on_first_byte()
         self.received_bytes += len(data)
         if not data and self._http.their_state is h11.SEND_RESPONSE:
             raise EOFError('closed before the response')
--- a/src/nutmegworks/net/pool.py
+++ b/src/nutmegworks/net/pool.py
@@ -44,28 +44,32 @@
         request: message.Request,
         *,
         timeout: float,
+        connect_timeout: float = client.CONNECT_TIMEOUT_SECONDS,
         stall_timeout: float | None = None,
         max_body: int = message.MAX_BODY_BYTES,
         echo_header: str = '',
         fresh: bool = False,
         send_before: float = math.inf,
+        on_first_byte: typing.Callable[[], None] | None = None,
     ) -> result.Result[message.Response, client.ExchangeError]:
         """Send a request over an idle or a new connection.
 
         :param timeout: seconds, including the time to connect.
+        :param connect_timeout: seconds to connect, if that is necessary.
         :param stall_timeout: as for ``client.Connection.exchange``.
         :param echo_header: name of a request header that the response must
             repeat.
         :param fresh: open a new connection even if one is idle.
         :param send_before: seconds on the pool's clock after which the request
             must not be sent.
+        :param on_first_byte: called when the response begins.
         """
         started = self._clock()
         connection = None if fresh else await self._acquire(address)
         if connection is None:
             opened = await client.connect(
                 address,
-                timeout=min(timeout, client.CONNECT_TIMEOUT_SECONDS),
+                timeout=min(timeout, connect_timeout),
             )
             if isinstance(opened, result.Err):
                 return opened
@@ -81,6 +85,7 @@
             stall_timeout=stall_timeout,
             max_body=max_body,
             echo_header=echo_header,
+            on_first_byte=on_first_byte,
         )
         if isinstance(answer, result.Err) and connection.exchange_count:
             # The cause of this failure is likely to affect the other idle
--- a/src/nutmegworks/platform/metastore.py
+++ b/src/nutmegworks/platform/metastore.py
@@ -79,6 +79,12 @@
         return _error(f'unreadable answer: {error}', _UNEXPECTED_ANSWER)
 
 
+def item_target(key: str) -> str:
+    """Return the target of a GET for one item."""
+    query = urllib.parse.urlencode({'key': key})
+    return f'/kv-key?{query}'
+
+
 class MetadataStore(interfaces.Store):
     """Makes the platform's store calls; every call has a time limit."""
 
@@ -92,8 +98,7 @@
         self,
         key: str,
     ) -> result.Result[interfaces.Item | None, interfaces.StoreError]:
-        query = urllib.parse.urlencode({'key': key})
-        answer = await self._transport.call('GET', f'/kv-key?{query}')
+        answer = await self._transport.call('GET', item_target(key))
         if answer.is_err():
             return answer
         if answer.ok_value.status == 404:
@@ -161,6 +166,7 @@
         transaction: interfaces.Transaction,
         *,
         timeout: float | None = None,
+        repeatable: bool = False,
     ) -> result.Result[interfaces.Commit, interfaces.StoreError]:
         body = msgspec.json.encode(
             {
@@ -180,7 +186,7 @@
             '/kv-txn',
             body,
             timeout=timeout or transport.CALL_TIMEOUT_SECONDS,
-            idempotent=False,
+            idempotent=repeatable,
         )
         if answer.is_err():
             return answer
@@ -270,4 +276,4 @@
     )
 
 
-__all__ = ('MetadataStore', 'WATCH_MARGIN_SECONDS')
+__all__ = ('MetadataStore', 'WATCH_MARGIN_SECONDS', 'item_target')
--- a/tests/fleet/builders.py
+++ b/tests/fleet/builders.py
@@ -13,10 +13,14 @@
 from nutmegworks.fleet import interfaces
 from nutmegworks.fleet import leader
 from nutmegworks.fleet import membership
+from nutmegworks.fleet import transport
 from nutmegworks.fleet import worker as fleet_worker
 from nutmegworks.fleet import worker_session
 from nutmegworks.model import ids
+from nutmegworks.net import client
+from nutmegworks.net import pool
 from nutmegworks.platform import wire
+from nutmegworks.policy import store_routes
 from nutmegworks.tasks import configuration
 from nutmegworks.tasks import records
 from nutmegworks.tasks import workers
@@ -139,6 +143,21 @@
     return msgspec.json.decode(item.value, type=records.Progress)
 
 
+def store_transport(
+    address: client.Address,
+    *peers: store_routes.Peer,
+) -> transport.Transport:
+    """Return the transport of a host in the domain north."""
+    return transport.Transport(
+        address,
+        pool.Pool(),
+        lambda: peers,
+        ids.DomainId('north'),
+        fleetmetrics.FleetMetrics(),
+        probe_target='/kv-key?key=probe',
+    )
+
+
 def member(
     store: interfaces.Store,
     name: str = 'host-1',
@@ -151,7 +170,7 @@
         store,
         member_id,
         records.Member('10.0.0.9', 7000, 'north', cores),
-        peers or membership.MemberSink(member_id, ids.DomainId('north')),
+        peers or membership.MemberSink(member_id),
         min_lease=1.0,
         clock=clock,
     )
--- a/tests/fleet/memory.py
+++ b/tests/fleet/memory.py
@@ -126,6 +126,7 @@
         transaction: interfaces.Transaction,
         *,
         timeout: float | None = None,
+        repeatable: bool = False,
     ) -> result.Result[interfaces.Commit, interfaces.StoreError]:
         if self.down:
             return _DOWN
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -95,41 +95,6 @@
     helpers.run(main)
 
 
-def test_relays_prefer_hosts_with_a_wide_link() -> None:
-    """Guards against a configuration that no relay delivers in time.
-
-    A relaying host reads the whole answer first. That takes seconds on a slow
-    link, and delays the calls of its own clients.
-    """
-
-    async def main() -> None:
-        peers = membership.MemberSink(
-            ids.MemberId('own'), ids.DomainId('north')
-        )
-        members_by_id = {
-            'slow-1': records.Member('10.0.0.1', 7000, 'south', link=5.0),
-            'wide-1': records.Member('10.0.0.2', 7000, 'south', link=100.0),
-            'wide-2': records.Member('10.0.0.3', 7000, 'east', link=100.0),
-            'slow-2': records.Member('10.0.0.4', 7000, 'east', link=5.0),
-            'near': records.Member('10.0.0.5', 7000, 'north', link=100.0),
-        }
-        await peers.replace(
-            [
-                interfaces.Item(
-                    f'{records.MEMBERS_PREFIX}{member_id}',
-                    records.encode(member),
-                    ids.StoreRevision(1),
-                ) for member_id, member in members_by_id.items()
-            ]
-        )
-        for _ in range(20):
-            hosts = [host for host, _ in peers.peer_addresses()]
-            assert set(hosts[:2]) == {'10.0.0.2', '10.0.0.3'}
-            assert hosts[-1] == '10.0.0.5'
-
-    helpers.run(main)
-
-
 def test_small_host_defers_to_a_larger_one() -> None:
     """Guards against slow scheduling on a small host that became the leader.
 
@@ -139,9 +104,7 @@
     async def main() -> None:
         store = memory.MemoryStore()
         now = [0.0]
-        peers = membership.MemberSink(
-            ids.MemberId('small'), ids.DomainId('north')
-        )
+        peers = membership.MemberSink(ids.MemberId('small'))
         large = records.Member('10.0.0.8', 7000, 'north', 2.0)
         await peers.replace(
             [
--- a/tests/fleet/test_slow_link.py
+++ b/tests/fleet/test_slow_link.py
@@ -6,9 +6,8 @@
 
 from nutmegworks.fleet import interfaces
 from nutmegworks.fleet import transport
-from nutmegworks.net import pool
 from nutmegworks.platform import metastore
-from nutmegworks.telemetry import fleetmetrics
+from tests.fleet import builders
 from tests import helpers
 from tests import slow_link
 
@@ -18,15 +17,8 @@
 async def _list(store: slow_link.SlowStore) -> typing.Any:
     """List a prefix over a link to a stand-in; no peer can relay."""
     async with slow_link.serving(store) as address:
-        connections = pool.Pool()
-        reader = metastore.MetadataStore(
-            transport.Transport(
-                address, connections, lambda: [], fleetmetrics.FleetMetrics()
-            )
-        )
-        listed = await reader.list('op/')
-        await connections.close()
-        return listed
+        reader = metastore.MetadataStore(builders.store_transport(address))
+        return await reader.list('op/')
 
 
 def test_answer_that_arrives_steadily_is_read_to_its_end() -> None:
--- a/tests/fleet/test_transport.py
+++ b/tests/fleet/test_transport.py
@@ -7,10 +7,11 @@
 
 from nutmegworks.fleet import interfaces
 from nutmegworks.fleet import transport
+from nutmegworks.model import ids
 from nutmegworks.net import message
-from nutmegworks.net import pool
 from nutmegworks.net import server
-from nutmegworks.telemetry import fleetmetrics
+from nutmegworks.policy import store_routes
+from tests.fleet import builders
 from tests import helpers
 
 
@@ -49,12 +50,9 @@
                 helpers.serving(endpoints.store) as store,
                 helpers.serving(endpoints.peer) as peer,
         ):
-            store_transport = transport.Transport(
-                store,
-                pool.Pool(),
-                lambda: [peer] if with_peer else [],
-                fleetmetrics.FleetMetrics(),
-            )
+            peers = [store_routes.Peer(peer, ids.DomainId('south'))
+                     ] if with_peer else []
+            store_transport = builders.store_transport(store, *peers)
             await scenario(endpoints, store_transport)
 
     helpers.run(main)
