policy, fleet: the waiting time of a job is split by cause

Cause: the log said how long a job waited, but not for what, so that nobody could say what binds. Change: the plan names for each demand what it waits for (policy/wait_causes); the leader sums the seconds and logs them with the job's end. No decision changes.

--- a/src/nutmegworks/fleet/scheduler.py
+++ b/src/nutmegworks/fleet/scheduler.py
@@ -88,11 +88,27 @@
                 self._preempt(task, job_id)
             for key, placement in plan.reservations.items():
                 self._reservations[key] = placement, now + RESERVATION_SECONDS
+            self._record_waits(waiting, plan, now)
             for start in plan.starts:
                 self._reservations.pop(start.demand.key, None)
                 await self._start(start, now)
         await self._state.notify_store_and_stops()
 
+    def _record_waits(
+        self,
+        waiting: typing.Iterable[task_demand.Demand],
+        plan: task_planning.Plan,
+        now: float,
+    ) -> None:
+        """Record what jobs wait for; a job waits if one of its steps does."""
+        for demand in waiting:
+            times = self._state.jobs_by_id[demand.job_id].wait_times
+            cause = plan.wait_causes.get(demand.key)
+            if cause is None:
+                times.stop(now)
+            else:
+                times.wait_for(cause, now)
+
     def _valid_reservations(self, now: float) -> task_planning.Reservations:
         self._reservations = {
             key: reservation
--- a/src/nutmegworks/fleet/state.py
+++ b/src/nutmegworks/fleet/state.py
@@ -259,6 +259,11 @@
             age=round(age, 3),
             objective=round(self.objective(job), 3),
             failures=sum(job.progress.failures.values()),
+            starts=sum(job.progress.runs.values()),
+            waited={
+                cause: round(seconds, 3)
+                for cause, seconds in job.wait_times.seconds_by_cause.items()
+            },
         )
         succeeded = state is records.JobState.SUCCEEDED
         for run in list(job.runs_by_task.values()):
--- a/src/nutmegworks/fleet/table.py
+++ b/src/nutmegworks/fleet/table.py
@@ -8,6 +8,7 @@
 import curio
 
 from nutmegworks.model import ids
+from nutmegworks.policy import wait_causes
 from nutmegworks.tasks import records
 from nutmegworks.tasks import spec
 from nutmegworks.tasks import workers
@@ -135,6 +136,7 @@
         self.progress = progress
         self.sequence = sequence
         self.arrived_at = arrived_at
+        self.wait_times = wait_causes.WaitTimes(arrived_at)
         self.stored_state = progress.state
         # Set when a final state is stored, so that clients may see it.
         self.final_state_stored = curio.Event()
--- a/src/nutmegworks/policy/task_planning.py
+++ b/src/nutmegworks/policy/task_planning.py
@@ -13,6 +13,7 @@
 from nutmegworks.policy import task_demand
 from nutmegworks.policy import task_placement
 from nutmegworks.policy import task_preemption
+from nutmegworks.policy import wait_causes
 from nutmegworks.tasks import spec
 
 # Waiting gangs for which workers are reserved in one round. More reservations
@@ -66,12 +67,17 @@
         from a later time.
     :param reservations: workers that demands get once the victims of this
         round have stopped.
+    :param wait_causes: what demands wait for of which tasks do not start.
     """
 
     starts: tuple[Start, ...]
     stops: tuple[tuple[task_preemption.RunningTask, ids.JobId], ...]
     backfill_reservations: int = 0
     reservations: Reservations = dataclasses.field(default_factory=dict)
+    wait_causes: typing.Mapping[
+        task_demand.DemandKey,
+        wait_causes.WaitCause,
+    ] = dataclasses.field(default_factory=dict)
 
 
 class _Round:
@@ -101,6 +107,10 @@
         # Whether tasks fit into their preferred racks, by shape and number.
         self._fits_racks: dict[tuple[task_placement.ShapeKey, int], bool] = {}
         self._reservations = reservations
+        self.wait_causes: dict[
+            task_demand.DemandKey,
+            wait_causes.WaitCause,
+        ] = {}
         self.new_reservations: dict[
             task_demand.DemandKey,
             task_placement.Placement,
@@ -131,8 +141,16 @@
         unplaced = self._start(demand)
         if unplaced.indexes:
             self._reserve(placement, demand)
+            self._record_wait(demand, wait_causes.WaitCause.PREEMPTION)
         return True
 
+    def _record_wait(
+        self,
+        demand: task_demand.Demand,
+        cause: wait_causes.WaitCause,
+    ) -> None:
+        self.wait_causes[demand.key] = cause
+
     def serve(self, demand: task_demand.Demand) -> None:
         """Start the tasks that fit; preempt or reserve for the others."""
         if self._use_reservation(demand):
@@ -140,6 +158,7 @@
         demand = self._start(demand)
         if not demand.indexes:
             return
+        self._record_wait(demand, wait_causes.WaitCause.LOWER_CLASS)
         if demand.priority == 0:
             if self._wait_for_releases(demand) or self._preempt(demand):
                 return
@@ -266,6 +285,7 @@
         if len(placement) < len(demand.indexes):
             return False
         self._reserve(placement, demand)
+        self._record_wait(demand, wait_causes.WaitCause.RELEASE)
         return True
 
     def _preempt(self, demand: task_demand.Demand) -> bool:
@@ -278,11 +298,14 @@
                 demand, workers, self._running, any_rack=True
             )
         if preemption is None:
+            self._record_wait(demand, wait_causes.WaitCause.ROOM)
             return False
         if not demand.guaranteed:
             if (preemption.cost > MAX_PREEMPTION_COST_FACTOR *
                     task_preemption.start_value(demand)):
+                self._record_wait(demand, wait_causes.WaitCause.COST)
                 return False
+        self._record_wait(demand, wait_causes.WaitCause.PREEMPTION)
         for task in preemption.victims:
             self.stops.append((task, demand.job_id))
             self._running.remove(task)
@@ -357,6 +380,7 @@
         tuple(state.stops),
         state.backfill_reservations,
         state.new_reservations,
+        state.wait_causes,
     )
 
 
