policy, fleet: speeds of workers are learned from the progress of running tasks

Known speeds save time. Ruled out: learning by the worker's kind; all workers are of one kind here. Change: each run's progress is measured over windows of 1.5 s and compared with that of the other tasks of its step; gangs and tasks away from their data are left out.

--- a/src/nutmegworks/fleet/reports.py
+++ b/src/nutmegworks/fleet/reports.py
@@ -112,6 +112,8 @@
             self._stop_unrecorded_run(worker, status, now)
             return
         run.record_progress(status.percent, status.checkpoint, now)
+        if run.rate.update(status.percent, now):
+            self._state.compare_rate(worker, run)
         if run.phase in (table.RunPhase.ORDERED, table.RunPhase.ADOPTED):
             run.phase = table.RunPhase.RUNNING
             run.confirmed_at = now
--- a/src/nutmegworks/fleet/state.py
+++ b/src/nutmegworks/fleet/state.py
@@ -378,7 +378,7 @@
         self.task_durations.observe(
             job.accepted.queue, run.step.estimate, seconds
         )
-        if run.step.gang or run.step.data_rack not in ('', worker.entry.rack):
+        if not _is_comparable(worker, run):
             return
         key = table.step_key(run.task.occurrence, run.task.step)
         by_worker = job.seconds_by_step.setdefault(key, {})
@@ -386,6 +386,28 @@
         if job.step_is_done(run.task.occurrence, run.step):
             self.worker_speeds.compare(job.seconds_by_step.pop(key))
 
+    def compare_rate(
+        self,
+        worker: fleet_worker.Worker,
+        run: table.Run,
+    ) -> None:
+        """Update the estimate of a worker's speed from a run's progress."""
+        job = self.jobs_by_id.get(run.task.job_id)
+        if (job is None or run.rate.value is None
+                or not _is_comparable(worker, run)):
+            return
+        others = []
+        for other in job.runs_by_task.values():
+            other_worker = self.workers_by_id.get(other.worker_id)
+            if (other is not run and other.rate.value is not None
+                    and other.step.number == run.step.number
+                    and other_worker is not None
+                    and _is_comparable(other_worker, other)):
+                others.append((other.worker_id, other.rate.value))
+        self.worker_speeds.compare_rate(
+            worker.worker_id, run.rate.value, others
+        )
+
     def pending(self, queue: str) -> int:
         """Return how many accepted jobs of a queue have not started."""
         return sum(
@@ -395,4 +417,15 @@
         )
 
 
+def _is_comparable(worker: fleet_worker.Worker, run: table.Run) -> bool:
+    """Return whether a run's pace tells the speed of its worker.
+
+    Members of a gang wait for each other, and tasks away from their data are
+    slow on any worker.
+    """
+    return (
+        not run.step.gang and run.step.data_rack in ('', worker.entry.rack)
+    )
+
+
 __all__ = ('FleetState', )
--- a/src/nutmegworks/fleet/table.py
+++ b/src/nutmegworks/fleet/table.py
@@ -9,6 +9,7 @@
 
 from nutmegworks.model import ids
 from nutmegworks.policy import wait_causes
+from nutmegworks.policy import worker_speeds
 from nutmegworks.tasks import records
 from nutmegworks.tasks import spec
 from nutmegworks.tasks import workers
@@ -53,6 +54,7 @@
     :param expected: seconds that the whole task is expected to take; the
         declared time if it is None.
     :param resumed: the run started from a checkpoint.
+    :param rate: how fast the run proceeds.
     """
 
     task: spec.TaskKey
@@ -75,6 +77,9 @@
     saved: str = ''
     expected: float | None = None
     resumed: bool = False
+    rate: worker_speeds.ProgressRate = dataclasses.field(
+        default_factory=worker_speeds.ProgressRate
+    )
 
     @property
     def key(self) -> tuple[spec.TaskKey, workers.RunNumber]:
--- a/src/nutmegworks/policy/worker_speeds.py
+++ b/src/nutmegworks/policy/worker_speeds.py
@@ -17,6 +17,12 @@
 # The prior that a worker has typical speed weighs as much as this many
 # comparisons.
 PRIOR_COMPARISONS: typing.Final = 1.0
+# Least time over which the progress of a run is measured. Reports give whole
+# percents and come once a second.
+RATE_WINDOW_SECONDS: typing.Final = 1.5
+# Least progress, in percent, that counts for a window, so that a run that
+# stands still has a logarithm.
+MIN_PROGRESS: typing.Final = 0.5
 # Limits the weight of old comparisons to that of this many, so that the
 # estimate follows a worker that recovers.
 MAX_WEIGHT: typing.Final = 8.0
@@ -40,6 +46,36 @@
     weight: float = PRIOR_COMPARISONS
 
 
+@dataclasses.dataclass(slots=True)
+class ProgressRate:
+    """How fast a run proceeds, measured over successive windows.
+
+    Times are seconds on a monotonic clock.
+
+    :param value: percent a second in the last whole window; None before it.
+    """
+
+    value: float | None = None
+    _percent: int | None = None
+    _since: float = 0.0
+
+    def update(self, percent: int, now: float) -> bool:
+        """Record a report; return whether a window has ended.
+
+        A window in which the run may have ended is not measured.
+        """
+        if self._percent is None:
+            self._percent, self._since = percent, now
+            return False
+        seconds = now - self._since
+        if percent >= 100 or seconds < RATE_WINDOW_SECONDS:
+            return False
+        gained = max(MIN_PROGRESS, percent - self._percent)
+        self.value = gained / seconds
+        self._percent, self._since = percent, now
+        return True
+
+
 class WorkerSpeeds:
     """Time that a worker takes, relative to a typical worker.
 
@@ -72,14 +108,35 @@
         typical = statistics.median(
             log - self._logarithm(worker_id) for worker_id, log in logs
         )
-        bound = math.log(MAX_RATIO)
         for worker_id, log in logs:
-            estimate = self._estimate_by_id.setdefault(worker_id, _Estimate())
-            observed = max(-bound, min(bound, log - typical))
-            estimate.weight = min(MAX_WEIGHT, estimate.weight + 1)
-            estimate.logarithm += (
-                observed - estimate.logarithm
-            ) / estimate.weight
+            self._observe(worker_id, log - typical)
+
+    def compare_rate(
+        self,
+        worker_id: ids.WorkerId,
+        rate: float,
+        others: typing.Sequence[tuple[ids.WorkerId, float]],
+    ) -> None:
+        """Update the estimate of a worker from a run that is under way.
+
+        :param rate: percent a second that the run proceeds.
+        :param others: workers and rates of other tasks of its step.
+        """
+        if len(others) + 1 < MIN_TASKS:
+            return
+        logs = [
+            -math.log(other_rate) - self._logarithm(other_id)
+            for other_id, other_rate in others
+        ]
+        self._observe(worker_id, -math.log(rate) - statistics.median(logs))
+
+    def _observe(self, worker_id: ids.WorkerId, logarithm: float) -> None:
+        """Add one comparison with a typical worker to an estimate."""
+        bound = math.log(MAX_RATIO)
+        estimate = self._estimate_by_id.setdefault(worker_id, _Estimate())
+        observed = max(-bound, min(bound, logarithm))
+        estimate.weight = min(MAX_WEIGHT, estimate.weight + 1)
+        estimate.logarithm += (observed - estimate.logarithm) / estimate.weight
 
     def _logarithm(self, worker_id: ids.WorkerId) -> float:
         estimate = self._estimate_by_id.get(worker_id)
@@ -98,4 +155,4 @@
         self._estimate_by_id.pop(worker_id, None)
 
 
-__all__ = ('SLOW_FACTOR', 'WorkerSpeeds')
+__all__ = ('ProgressRate', 'SLOW_FACTOR', 'WorkerSpeeds')
