policy, platform: stop and reclaim times come from the settings

The limit of 1.6 s for guaranteed work fitted bounds of 2.7 s with stops of 0.2 s, 2.9 with 0.4 and 3.4 with 0.9, so it is derived from both. Change: task_planning.Bounds from stopTimeoutMs and reclaimMs; a stopping run's release is counted from its stop, not from now.

--- a/src/nutmegworks/daemon/fleetnode.py
+++ b/src/nutmegworks/daemon/fleetnode.py
@@ -31,6 +31,7 @@
 from nutmegworks.platform import metastore
 from nutmegworks.platform import settings as platform_settings
 from nutmegworks.platform import wire
+from nutmegworks.policy import task_planning
 from nutmegworks.tasks import records
 from nutmegworks.telemetry import fleetmetrics
 
@@ -117,6 +118,10 @@
             self._metrics,
             self._configuration_holder,
             retention_seconds=self._settings.bounds.status_retention,
+            bounds=task_planning.Bounds(
+                stop=self._settings.bounds.stop_timeout,
+                reclaim=self._settings.bounds.reclaim,
+            ),
         )
 
     def _make_filter_chain(self) -> calls.Proceed:
--- a/src/nutmegworks/fleet/leader.py
+++ b/src/nutmegworks/fleet/leader.py
@@ -22,6 +22,7 @@
 from nutmegworks.fleet import worker as fleet_worker
 from nutmegworks.fleet import worker_session
 from nutmegworks.model import ids
+from nutmegworks.policy import task_planning
 from nutmegworks.tasks import records
 from nutmegworks.telemetry import fleetmetrics
 
@@ -203,6 +204,7 @@
     """Runs the controllers of one term of leadership.
 
     :param retention_seconds: time for which final jobs are kept.
+    :param bounds: time limits of the platform for decisions.
     :ivar loaded: whether the stored state has been read.
     """
 
@@ -217,6 +219,7 @@
         configuration: configuration_holder.ConfigurationHolder,
         *,
         retention_seconds: float,
+        bounds: task_planning.Bounds,
     ) -> None:
         self._store = store
         self._client = client
@@ -238,7 +241,7 @@
             self._step_down,
         )
         self._scheduler = scheduler.Scheduler(
-            self.state, self._orders, member, configuration
+            self.state, self._orders, member, configuration, bounds
         )
         self._reports = fleet_reports.Reports(self.state, self._acknowledge)
 
--- a/src/nutmegworks/fleet/scheduler.py
+++ b/src/nutmegworks/fleet/scheduler.py
@@ -31,12 +31,11 @@
 # Maximum time between rounds, because progress of runs and due times change
 # without an event.
 MAX_ROUND_INTERVAL_SECONDS: typing.Final = 0.3
-# Expected time until a stopping run releases its resources.
-STOPPING_SECONDS: typing.Final = 0.3
-# How long the resources of victims stay reserved. Victims stop within the
-# platform's bound (0.2 to 0.9 s); after this time, resources that are not free
-# are planned again.
-RESERVATION_SECONDS: typing.Final = 1.2
+# Added to the time in which victims stop, for which their resources stay
+# reserved; after that, resources that are not free are planned again.
+RESERVATION_MARGIN_SECONDS: typing.Final = 0.3
+# Least time until the end of a stopping run is reported.
+MIN_STOPPING_SECONDS: typing.Final = 0.05
 # Assumed for a leaving worker that does not say how long it still runs.
 LEAVING_SECONDS: typing.Final = 2.0
 
@@ -50,7 +49,9 @@
         orders: fleet_orders.Orders,
         member: membership.Membership,
         holder: configuration_holder.ConfigurationHolder,
+        bounds: task_planning.Bounds,
     ) -> None:
+        self._bounds = bounds
         self._state = state
         self._configuration_holder = holder
         self._orders = orders
@@ -83,11 +84,15 @@
                 self._worker_capacities(now),
                 self._running(now),
                 self._valid_reservations(now),
+                self._bounds,
             )
             for task, job_id in plan.stops:
                 self._preempt(task, job_id)
+            reserved_until = (
+                now + self._bounds.stop + RESERVATION_MARGIN_SECONDS
+            )
             for key, placement in plan.reservations.items():
-                self._reservations[key] = placement, now + RESERVATION_SECONDS
+                self._reservations[key] = placement, reserved_until
             self._record_waits(waiting, plan, now)
             for start in plan.starts:
                 self._reservations.pop(start.demand.key, None)
@@ -203,7 +208,7 @@
         health = self._state.worker_health
         suspect_ids = health.suspects(available_by_id.keys(), now)
         return [
-            _worker_capacity(worker, now, self._should_avoid(worker_id, now))
+            self._worker_capacity(worker, now)
             for worker_id, worker in available_by_id.items()
             if worker_id not in suspect_ids and not (
                 worker.runs_by_key and health.status(worker_id, now) is
@@ -211,6 +216,30 @@
             )
         ]
 
+    def _worker_capacity(
+        self,
+        worker: fleet_worker.Worker,
+        now: float,
+    ) -> task_placement.WorkerCapacity:
+        releases = []
+        for run in worker.runs_by_key.values():
+            after = run.remaining(now)
+            if run.phase is table.RunPhase.STOPPING:
+                stops_at = run.stopped_at + self._bounds.stop
+                after = max(MIN_STOPPING_SECONDS, stops_at - now)
+            releases.append(task_placement.Release(after, run.step.resources))
+        entry = worker.entry
+        return task_placement.WorkerCapacity(
+            entry.worker_id,
+            entry.service_id,
+            entry.rack,
+            entry.labels,
+            entry.resources,
+            worker.free_resources(),
+            tuple(releases),
+            slow=self._should_avoid(worker.worker_id, now),
+        )
+
     def _should_avoid(self, worker_id: ids.WorkerId, now: float) -> bool:
         """Return whether gangs and urgent work should avoid a worker."""
         return (
@@ -347,30 +376,6 @@
                     self._state.stop_gang(run, 'worker of a member is leaving')
 
 
-def _worker_capacity(
-    worker: fleet_worker.Worker,
-    now: float,
-    avoided: bool,
-) -> task_placement.WorkerCapacity:
-    releases = []
-    for run in worker.runs_by_key.values():
-        after = STOPPING_SECONDS
-        if run.phase is not table.RunPhase.STOPPING:
-            after = run.remaining(now)
-        releases.append(task_placement.Release(after, run.step.resources))
-    entry = worker.entry
-    return task_placement.WorkerCapacity(
-        entry.worker_id,
-        entry.service_id,
-        entry.rack,
-        entry.labels,
-        entry.resources,
-        worker.free_resources(),
-        tuple(releases),
-        slow=avoided,
-    )
-
-
 def _running_task(run: table.Run, now: float) -> task_preemption.RunningTask:
     task = run.task
     group: tuple[str, ...] = (task.name, )
--- a/src/nutmegworks/fleet/state.py
+++ b/src/nutmegworks/fleet/state.py
@@ -212,6 +212,7 @@
             return
         was_sent = run.sent or run.phase is table.RunPhase.ADOPTED
         run.phase = table.RunPhase.STOPPING
+        run.stopped_at = membership.steady_clock()
         run.confirmed_at = None
         if not was_sent:
             self.release_run(run, reason)
--- a/src/nutmegworks/fleet/table.py
+++ b/src/nutmegworks/fleet/table.py
@@ -47,6 +47,7 @@
     :param released: the run is over and no longer in the tables.
     :param confirmed_at: when the worker confirmed the start or stop request;
         a report that was asked for later must list the run.
+    :param stopped_at: when the run became ``STOPPING``.
     :param progressed_at: when the percentage last changed.
     :param first_percent: progress in the first report, which came at
         ``first_percent_at``.
@@ -70,6 +71,7 @@
     worker_ended: bool = False
     released: bool = False
     confirmed_at: float | None = None
+    stopped_at: float = 0.0
     progressed_at: float = 0.0
     percent: int = 0
     first_percent: int | None = None
--- a/src/nutmegworks/platform/settings.py
+++ b/src/nutmegworks/platform/settings.py
@@ -22,6 +22,7 @@
     :param gang_timeout: time for which members of a gang wait for each other.
     :param grace: time from a stop signal to the exit of the process.
     :param status_retention: time for which the state of an ended job is kept.
+    :param reclaim: time in which work that a guarantee covers starts.
     """
 
     max_lease: float
@@ -30,6 +31,7 @@
     grace: float
     status_retention: float
     early: float
+    reclaim: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,6 +69,7 @@
     grace_s: float = 6
     status_s: float = msgspec.field(default=120, name='status_s')
     early_ms: float = msgspec.field(default=250, name='early_ms')
+    reclaim_ms: float = 2900
 
 
 class _Limits(msgspec.Struct, rename='camel'):
@@ -135,6 +138,7 @@
             grace=bounds.grace_s,
             status_retention=bounds.status_s,
             early=bounds.early_ms / 1000,
+            reclaim=bounds.reclaim_ms / 1000,
         ),
     )
 
--- a/src/nutmegworks/policy/task_planning.py
+++ b/src/nutmegworks/policy/task_planning.py
@@ -25,9 +25,6 @@
 # Declared durations are wrong by up to half, so urgent work waits only this
 # share of its spare time for releases before lower classes are preempted.
 MAX_WAIT_SHARE: typing.Final = 0.5
-# Guaranteed work waits at most this long before it preempts others. Guaranteed
-# shapes start within 2.7 s; a stop and a start take part of it.
-RECLAIM_SECONDS: typing.Final = 1.6
 # Without a guarantee, preemption may cost at most this many times the value of
 # the urgent work: the users price lost work at about a fifth of its value.
 MAX_PREEMPTION_COST_FACTOR: typing.Final = 4.0
@@ -37,8 +34,27 @@
 # While most of a service is free, a demand waits for preferred racks only this
 # long: waiting work may leave such a service idle for 3 s at most.
 MAX_IDLE_WAIT_SECONDS: typing.Final = 1.5
-# Seconds that a victim may take to stop.
-STOPPING_SECONDS: typing.Final = 0.5
+# Part of the time in which guaranteed work has to start that is not spent on
+# waiting and stopping: decisions, the store and the start itself.
+RECLAIM_MARGIN_SECONDS: typing.Final = 0.9
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """Time limits of the platform that decisions depend on, in seconds.
+
+    :param stop: in which a victim stops; the last of several often takes
+        nearly all of it.
+    :param reclaim: in which guaranteed work starts.
+    """
+
+    stop: float = 0.4
+    reclaim: float = 2.9
+
+    @property
+    def reclaim_wait(self) -> float:
+        """Seconds that guaranteed work waits at most before it preempts."""
+        return max(0.0, self.reclaim - self.stop - RECLAIM_MARGIN_SECONDS)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -88,7 +104,9 @@
         workers: typing.Sequence[task_placement.WorkerCapacity],
         running: typing.Sequence[task_preemption.RunningTask],
         reservations: Reservations,
+        bounds: Bounds,
     ) -> None:
+        self._bounds = bounds
         self._workers = list(workers)
         self._running = list(running)
         self._worker_by_id = {worker.worker_id: worker for worker in workers}
@@ -181,7 +199,7 @@
             return True
         if demand.waited > MAX_IDLE_WAIT_SECONDS and self._is_half_empty():
             return True
-        if demand.guaranteed and demand.waited > RECLAIM_SECONDS:
+        if (demand.guaranteed and demand.waited > self._bounds.reclaim_wait):
             # A guarantee says when the tasks start, not how fast they are.
             return True
         key = task_placement.shape_key(demand), len(demand.indexes)
@@ -273,12 +291,20 @@
     def _unreserved_workers(self) -> list[task_placement.WorkerCapacity]:
         return [worker for worker in self._workers if worker.reserved_from > 0]
 
+    def _max_wait(self, demand: task_demand.Demand) -> float:
+        """Return how many seconds a demand may wait before it preempts."""
+        spare = demand.objective - demand.remaining - demand.waited
+        max_wait = MAX_WAIT_SHARE * spare
+        if demand.guaranteed:
+            max_wait = min(max_wait, self._bounds.reclaim_wait - demand.waited)
+        return max_wait
+
     def _wait_for_releases(self, demand: task_demand.Demand) -> bool:
         """Reserve workers that are released in time without preemption.
 
         :return: whether there are enough of them.
         """
-        max_wait = max(STOPPING_SECONDS, _max_wait(demand))
+        max_wait = max(self._bounds.stop, self._max_wait(demand))
         placement = task_placement.place(
             demand, self._unreserved_workers(), any_rack=False, after=max_wait
         )
@@ -312,7 +338,7 @@
             worker = self._worker_by_id.get(task.worker_id)
             if worker is not None:
                 release = task_placement.Release(
-                    STOPPING_SECONDS, task.resources
+                    self._bounds.stop, task.resources
                 )
                 worker.add_release(release)
         self._reserve(preemption.placement, demand)
@@ -348,20 +374,12 @@
                 worker.free = worker.free.minus(demand.step.resources)
 
 
-def _max_wait(demand: task_demand.Demand) -> float:
-    """Return the seconds that a demand may wait before it preempts others."""
-    spare = demand.objective - demand.remaining - demand.waited
-    max_wait = MAX_WAIT_SHARE * spare
-    if demand.guaranteed:
-        max_wait = min(max_wait, RECLAIM_SECONDS - demand.waited)
-    return max_wait
-
-
 def plan(
     waiting: typing.Iterable[task_demand.Demand],
     workers: typing.Sequence[task_placement.WorkerCapacity],
     running: typing.Sequence[task_preemption.RunningTask],
     reservations: Reservations | None = None,
+    bounds: Bounds = Bounds(),
 ) -> Plan:
     """Return which tasks to start and which runs to stop.
 
@@ -370,7 +388,7 @@
     :param running: runs that may be stopped.
     :param reservations: resources that victims of earlier rounds release.
     """
-    state = _Round(workers, running, reservations or {})
+    state = _Round(workers, running, reservations or {}, bounds)
     ordered = task_demand.sort_demands(waiting)
     state.apply_reservations(ordered)
     for demand in ordered:
@@ -384,4 +402,4 @@
     )
 
 
-__all__ = ('Plan', 'Start', 'plan')
+__all__ = ('Bounds', 'Plan', 'Start', 'plan')
--- a/tests/fleet/builders.py
+++ b/tests/fleet/builders.py
@@ -21,6 +21,7 @@
 from nutmegworks.net import pool
 from nutmegworks.platform import wire
 from nutmegworks.policy import store_routes
+from nutmegworks.policy import task_planning
 from nutmegworks.tasks import configuration
 from nutmegworks.tasks import records
 from nutmegworks.tasks import workers
@@ -207,6 +208,7 @@
         fleetmetrics.FleetMetrics(),
         held_configuration(),
         retention_seconds=120.0,
+        bounds=task_planning.Bounds(),
     )
     membership_task = await curio.spawn(elected.run, daemon=True)
     term_task = await curio.spawn(term.run, daemon=True)
