fleet: the waits of a job under an earlier leader are not counted as no decision

Change: such a job's waits begin with the term. Measured: tests/fleet, tests/policy and tests/platform pass.

--- a/src/nutmegworks/fleet/state.py
+++ b/src/nutmegworks/fleet/state.py
@@ -283,13 +283,16 @@
     ) -> table.Job:
         """Add an accepted job and adopt its runs of an earlier leader."""
         age = min(60.0, max(0.0, time.time() - accepted.accepted_at))
+        now = membership.steady_clock()
         job = table.Job(
             job_id,
             accepted,
             submission,
             progress or records.Progress(),
             sequence,
-            membership.steady_clock() - age,
+            arrived_at=now - age,
+            # An earlier leader has decided on a job with progress.
+            waits_since=now - age if progress is None else now,
         )
         self.jobs_by_id[job_id] = job
         for name, assignment in list(job.progress.assigned.items()):
--- a/src/nutmegworks/fleet/table.py
+++ b/src/nutmegworks/fleet/table.py
@@ -126,6 +126,7 @@
     :param sequence: position in the order of acceptance.
     :param arrived_at: estimated time of the acceptance, in seconds of
         ``membership.steady_clock``.
+    :param waits_since: from when it waits for the first decision.
     """
 
     def __init__(
@@ -136,6 +137,7 @@
         progress: records.Progress,
         sequence: int,
         arrived_at: float,
+        waits_since: float,
     ) -> None:
         self.job_id = job_id
         self.accepted = accepted
@@ -143,7 +145,8 @@
         self.progress = progress
         self.sequence = sequence
         self.arrived_at = arrived_at
-        self.wait_times = wait_causes.WaitTimes(arrived_at)
+        # Of this leader only.
+        self.wait_times = wait_causes.WaitTimes(waits_since)
         self.stored_state = progress.state
         # Set when a final state is stored, so that clients may see it.
         self.final_state_stored = curio.Event()
