--- a/src/nutmegworks/cli/main.py
+++ b/src/nutmegworks/cli/main.py
@@ -10,6 +10,7 @@
 from nutmegworks.cli import client
 from nutmegworks.cli import config
 from nutmegworks.cli import jobs
+from nutmegworks.cli import losses
 from nutmegworks.cli import output
 from nutmegworks.cli import session
 from nutmegworks.cli import status
@@ -28,6 +29,7 @@
 app.command('status')(status.status)
 app.command('account')(status.account)
 app.command('bench')(bench.bench)
+app.command('losses')(losses.losses)
 
 
 @app.callback()
--- a/tests/policy/test_worker_speeds.py
+++ b/tests/policy/test_worker_speeds.py
@@ -124,3 +124,92 @@
     finally:
         task_placement.place = place
     assert len(placed) == 1
+
+
+def _report(
+    speeds: worker_speeds.WorkerSpeeds,
+    seconds_by_worker: dict[int, float],
+    seconds: int,
+) -> None:
+    """Report a step's running tasks each second, as its leader sees them."""
+    rates = {
+        number: worker_speeds.ProgressRate()
+        for number in seconds_by_worker
+    }
+    for now in range(seconds + 1):
+        for number, rate in rates.items():
+            percent = int(100 * now / seconds_by_worker[number])
+            if not rate.update(min(100, percent), now):
+                continue
+            others = [
+                (ids.WorkerId(f'w{other}'), other_rate.value)
+                for other, other_rate in rates.items()
+                if other != number and other_rate.value is not None
+            ]
+            speeds.compare_rate(ids.WorkerId(f'w{number}'), rate.value, others)
+
+
+def test_slow_workers_are_known_while_their_first_tasks_run() -> None:
+    """Load pattern: urgent gangs with little to spare, and a new leader.
+
+    Guards against a leader that knows no speeds until whole steps have ended,
+    which takes longer than most leaders lead on a day with faults.
+    """
+    known = wrong = 0
+    seeds = range(20)
+    for seed in seeds:
+        speeds = worker_speeds.WorkerSpeeds()
+        rng = random.Random(seed)
+        slow_numbers = set(rng.sample(range(24), 8))
+        for _ in range(2):
+            seconds_by_worker = {
+                number:
+                8.0 * (1.3 if number in slow_numbers else 1.0) *
+                rng.uniform(0.85, 1.15)
+                for number in range(24)
+            }
+            _report(speeds, seconds_by_worker, seconds=5)
+        found = {
+            number
+            for number in range(24)
+            if speeds.is_slow(ids.WorkerId(f'w{number}'))
+        }
+        known += len(found & slow_numbers)
+        wrong += len(found - slow_numbers)
+    # Most of the slow workers, and hardly a typical one.
+    assert known > 0.5 * 8 * len(seeds)
+    assert wrong < 0.05 * 16 * len(seeds)
+
+
+def test_worker_that_turns_slow_is_known_before_its_tasks_end() -> None:
+    """Guards against gangs on a worker that takes seven times as long."""
+    speeds = worker_speeds.WorkerSpeeds()
+    _report(
+        speeds, {
+            0: 54.0,
+            **{
+                number: 8.0
+                for number in range(1, 8)
+            }
+        },
+        seconds=4
+    )
+    assert speeds.is_slow(ids.WorkerId('w0'))
+    assert not any(
+        speeds.is_slow(ids.WorkerId(f'w{number}')) for number in range(1, 8)
+    )
+
+
+def test_window_in_which_a_run_may_have_ended_is_not_measured() -> None:
+    """Guards against fast runs that look slow while their end is awaited."""
+    rate = worker_speeds.ProgressRate()
+    assert not rate.update(0, 0.0)
+    assert not rate.update(100, 5.0)
+    assert rate.value is None
+
+
+def test_single_tasks_tell_no_speed() -> None:
+    """Guards against estimates from steps with too few tasks to compare."""
+    speeds = worker_speeds.WorkerSpeeds()
+    _report(speeds, {0: 20.0, 1: 8.0, 2: 8.0}, seconds=4)
+    assert not speeds.is_slow(ids.WorkerId('w0'))
