platform, telemetry: bounds that are not above zero are named; waits are counted

Cause: decisions now depend on two bounds of the settings; zero would make each urgent job preempt at once. The metrics page did not show what jobs wait for. Change: such a bound is replaced by its default, with one line that names the key; nutmeg_job_wait_seconds_total by queue and cause.

--- a/src/nutmegworks/fleet/state.py
+++ b/src/nutmegworks/fleet/state.py
@@ -252,6 +252,8 @@
         labels = {'queue': job.accepted.queue}
         self.metrics.jobs_ended.inc({**labels, 'state': state.value})
         self.metrics.job_seconds.observe(labels, age)
+        for cause, seconds in job.wait_times.seconds_by_cause.items():
+            self.metrics.wait_seconds.add({**labels, 'cause': cause}, seconds)
         _LOG.info(
             'job ended',
             job=job.job_id,
--- a/src/nutmegworks/platform/settings.py
+++ b/src/nutmegworks/platform/settings.py
@@ -4,11 +4,14 @@
 import dataclasses
 import typing
 
+import logbook
 import msgspec
 
 from nutmegworks.fleet import transport
 from nutmegworks.model import ids
 
+_LOG: typing.Final = logbook.Logger('settings')
+
 # Environment variable, set by the platform, with the path of the file.
 PATH_VARIABLE: typing.Final = 'NUTMEGWORKS_BOOT'
 
@@ -102,6 +105,27 @@
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
+DEFAULT_BOUNDS: typing.Final = _Bounds()
+
+
+def _bound(bounds: _Bounds, field: str, key: str) -> float:
+    """Return a bound in seconds, the default if it is not above zero.
+
+    A daemon that does not start serves nobody.
+    """
+    value = getattr(bounds, field)
+    if value > 0:
+        return value / 1000
+    default = getattr(DEFAULT_BOUNDS, field)
+    _LOG.warning(
+        'bound in the settings is not above zero',
+        key=f'bounds.{key}',
+        value=value,
+        used=default,
+    )
+    return default / 1000
+
+
 def parse_address(text: str) -> tuple[str, int]:
     """Return host and port.
 
@@ -133,12 +157,12 @@
         link=file.limits.link_mbps,
         bounds=Bounds(
             max_lease=bounds.max_hold_ms / 1000,
-            stop_timeout=bounds.stop_timeout_ms / 1000,
+            stop_timeout=_bound(bounds, 'stop_timeout_ms', 'stopTimeoutMs'),
             gang_timeout=bounds.gang_timeout_ms / 1000,
             grace=bounds.grace_s,
             status_retention=bounds.status_s,
             early=bounds.early_ms / 1000,
-            reclaim=bounds.reclaim_ms / 1000,
+            reclaim=_bound(bounds, 'reclaim_ms', 'reclaimMs'),
         ),
     )
 
--- a/src/nutmegworks/telemetry/fleetmetrics.py
+++ b/src/nutmegworks/telemetry/fleetmetrics.py
@@ -50,6 +50,10 @@
             'Seconds from acceptance to the end, by queue.',
             JOB_BUCKETS,
         )
+        self.wait_seconds = self._counter(
+            'nutmeg_job_wait_seconds_total',
+            'Seconds that ended jobs waited, by queue and cause.',
+        )
         self.leading = self._gauge(
             'nutmeg_leading', '1 while this daemon leads.'
         )
