--- a/tests/specs/test_models.py
+++ b/tests/specs/test_models.py
@@ -3,6 +3,7 @@
 import minicheck
 import pytest
 
+from specs import acknowledgement
 from specs import gang
 from specs import ownership
 from specs import worker_lease
@@ -16,6 +17,7 @@
 @pytest.mark.parametrize(
     'model',
     [
+        acknowledgement.acknowledgement_model,
         gang.commit_model,
         gang.lease_model,
         ownership.ownership_model,
@@ -33,6 +35,16 @@
 @pytest.mark.parametrize(
     ('model', 'broken', 'invariant'),
     [
+        (
+            acknowledgement.acknowledgement_model,
+            'carry-always',
+            'acknowledged_ends_are_processed',
+        ),
+        (
+            acknowledgement.acknowledgement_model,
+            'start-beside',
+            'acknowledged_ends_are_processed',
+        ),
         (gang.commit_model, 'no-commit', 'executes_only_if_committed'),
         (gang.commit_model, 'no-adopt', 'executes_at_most_once'),
         (gang.commit_model, 'restart', 'executes_at_most_once'),
