fleet, policy: a host of a cut-off domain counts as isolated again

Cause: since a peer whose own route is down says so at once. Within a domain that is cut off, hosts answered each other so and counted as in contact, stayed ready, and refused the submissions of clients that the balancer would have sent to another domain. Ruled out: the store known as down; it refused in 0.2 ms as before, but the former code was not ready by then. Change: only an answer from outside of the own failure domain shows contact, unless there is no other domain.

--- a/src/nutmegworks/fleet/interfaces.py
+++ b/src/nutmegworks/fleet/interfaces.py
@@ -32,7 +32,8 @@
 
     :param effect: whether the call may have taken effect nevertheless.
     :param detail: cause of the failure, for logs.
-    :param isolated: neither the store nor a peer daemon answered.
+    :param isolated: neither the store nor a host of another failure domain
+        answered.
     """
 
     effect: Effect
--- a/src/nutmegworks/fleet/transport.py
+++ b/src/nutmegworks/fleet/transport.py
@@ -73,11 +73,13 @@
     :param effect: whether the call may have taken effect nevertheless.
     :param detail: cause of the failure, for logs.
     :param reached: the other end of the route, store or peer, answered.
+    :param contact: an answer came from outside of this host's failure domain.
     """
 
     effect: interfaces.Effect
     detail: str
     reached: bool
+    contact: bool = False
 
 
 class Transport:
@@ -124,7 +126,10 @@
         return self.seconds_since_answer() > DOWN_AFTER_SECONDS
 
     def isolated_seconds(self) -> float:
-        """Return seconds for which neither the store nor a peer answered."""
+        """Return seconds without any answer from outside of the domain.
+
+        Neither the store nor a peer of another failure domain answered.
+        """
         since = self._isolated_since
         return 0.0 if since is None else self._clock() - since
 
@@ -240,9 +245,7 @@
         if route is store_routes.DIRECT:
             return await self._direct(request, timeout, on_first_byte)
         started_at = self._clock()
-        outcome = await self._relay(
-            route.address, request, timeout, on_first_byte
-        )
+        outcome = await self._relay(route, request, timeout, on_first_byte)
         await self._record(route, outcome, started_at)
         return outcome
 
@@ -316,7 +319,8 @@
         effect = interfaces.Effect.NONE
         if any(failure.effect is unknown for failure in failures):
             effect = unknown
-        isolated = not any(failure.reached for failure in failures)
+        # Peers in a domain that is cut off answer each other.
+        isolated = not any(failure.contact for failure in failures)
         if isolated and self._isolated_since is None:
             self._isolated_since = self._clock()
         if not isolated:
@@ -379,7 +383,10 @@
         response = answer.ok_value
         if response.status in _OVERLOADED:
             return Failure(
-                interfaces.Effect.NONE, f'status {response.status}', True
+                interfaces.Effect.NONE,
+                f'status {response.status}',
+                reached=True,
+                contact=True,
             )
         return response
 
@@ -413,7 +420,7 @@
 
     async def _relay(
         self,
-        address: client.Address,
+        peer: store_routes.Peer,
         request: message.Request,
         timeout: float,
         on_first_byte: typing.Callable[[], None] | None,
@@ -427,7 +434,7 @@
             'POST', RELAY_PATH, headers, request.body
         )
         answer = await self._exchange(
-            address,
+            peer.address,
             relay_request,
             timeout,
             reads=request.method == 'GET',
@@ -440,7 +447,9 @@
         if failed is not None:
             return Failure(
                 interfaces.Effect(failed),
-                f'store did not answer peer {address[0]}', True
+                f'store did not answer peer {peer.address[0]}',
+                reached=True,
+                contact=self._routes.is_outside(peer, self._peers()),
             )
         return response
 
--- a/src/nutmegworks/policy/store_routes.py
+++ b/src/nutmegworks/policy/store_routes.py
@@ -134,6 +134,19 @@
         ][:limit - 1]
         return [*sound, DIRECT, *ordered[len(sound):]][:limit]
 
+    def is_outside(
+        self,
+        peer: Peer,
+        peers: typing.Iterable[Peer],
+    ) -> bool:
+        """Return whether an answer of a peer shows that no cut is the cause.
+
+        A peer of the own domain shows it only if there is no other domain.
+        """
+        return peer.domain != self._own_domain or all(
+            other.domain == self._own_domain for other in peers
+        )
+
     def _failed_recently(self, peer: Peer, now: float) -> bool:
         return self.failed_since(peer, now - PEER_AVOIDANCE_SECONDS)
 
--- a/tests/fleet/test_outage_and_cut.py
+++ b/tests/fleet/test_outage_and_cut.py
@@ -6,6 +6,7 @@
 import typing
 
 import curio
+import pytest
 
 from nutmegworks.fleet import interfaces
 from nutmegworks.fleet import prefix_watcher
@@ -192,6 +193,52 @@
     helpers.run(main)
 
 
+@pytest.mark.parametrize(
+    'domain, others, isolated',
+    [
+        # The peer's own route is down, too: the domain is cut off.
+        ('north', 1, True),
+        # There is only one domain, so the store is down.
+        ('north', 0, False),
+        # The domain is not cut off, the store is down.
+        ('south', 0, False),
+    ]
+)
+def test_host_of_a_cut_off_domain_counts_as_isolated(
+    domain: str,
+    others: int,
+    isolated: bool,
+) -> None:
+    """Guards against clients that stay with hosts which can store nothing.
+
+    The load balancer sends them to other domains once these hosts are not
+    ready. Peers of the same domain answer each other during the cut.
+    """
+
+    async def fail(_: message.Request) -> message.Response:
+        return message.Response(503, {transport.FAILED_HEADER: 'none'})
+
+    async def main() -> None:
+        endpoints = _Endpoints()
+        async with (
+                helpers.serving(endpoints.store) as store,
+                helpers.serving(fail) as near,
+                helpers.serving(endpoints.silent_peer) as far,
+        ):
+            far_peers = [
+                store_routes.Peer(far, ids.DomainId('south'))
+            ] * others
+            host = builders.store_transport(
+                store, *far_peers,
+                store_routes.Peer(near, ids.DomainId(domain))
+            )
+            for _ in range(2):
+                await host.call('GET', '/kv-key?key=a', timeout=0.2)
+            assert (host.isolated_seconds() > 0) is isolated
+
+    helpers.run(main)
+
+
 def test_silent_store_is_probed_at_a_bounded_rate() -> None:
     """Guards against a herd of calls when the store comes back."""
 
