--- a/review/1/case.py
+++ b/review/1/case.py
@@ -20,7 +20,7 @@
 async def case(lab: harness.Lab) -> bool:
     await lab.start({f'i-{number}': 'a' for number in range(1, 13)})
     job, statuses = await lab.submit('lasts', 1, LASTING)
-    if statuses != [200] or not await lab.wait_for_start(job, 5.0):
+    if statuses[-1] != 200 or not await lab.wait_for_start(job, 5.0):
         raise harness.CannotRun('the lasting task did not start')
     await asyncio.sleep(3.0)
     run = lab.truth.runs_of(job)[0]
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -14,7 +14,7 @@
 async def case(lab: harness.Lab) -> bool:
     await lab.start({f'i-{number}': 'a' for number in range(1, 13)})
     _, statuses = await lab.submit('before', 1, STEP)
-    if statuses != [200]:
+    if statuses[-1] != 200:
         raise harness.CannotRun('no job is accepted on a quiet day')
     crash = asyncio.Event()
 
@@ -48,7 +48,7 @@
     )
     lab.log(f'answers to all attempts: {statuses}; started: {started}')
     rejected = all(status in (429, 503) for status in statuses)
-    if not lab.trouble and statuses != [200]:
+    if not lab.trouble and statuses[-1] != 200:
         raise harness.CannotRun('the job was not accepted')
     return not (started and rejected)
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -20,7 +20,7 @@
     special = lab.executors['i-12']
     special.faulty = lab.trouble
     job, statuses = await lab.submit('in question', 1, STEP, seconds=2.0)
-    if statuses != [200]:
+    if statuses[-1] != 200:
         raise harness.CannotRun('the job was not accepted')
     if lab.trouble:
         failed = await lab.wait_until(
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -35,7 +35,7 @@
         raise harness.CannotRun('nothing failed')
     await asyncio.sleep(CALM_SECONDS)
     job, statuses = await lab.submit('in question', 1, SPECIAL, seconds=2.0)
-    if statuses != [200]:
+    if statuses[-1] != 200:
         raise harness.CannotRun('the job was not accepted')
     await asyncio.sleep(harness.FINISH_SECONDS)
     return await lab.is_served(job, 1, special)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -29,7 +29,7 @@
         await lab.submit('large gang', 1, GANG, seconds=6.8)
         await asyncio.sleep(1.0)
     job, statuses = await lab.submit('small', 2, SMALL, seconds=7.6)
-    if statuses != [200]:
+    if statuses[-1] != 200:
         raise harness.CannotRun('the job was not accepted')
     await asyncio.sleep(harness.FINISH_SECONDS)
     return await lab.is_served(job, 2, *lab.executors.values())
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,4 +1,5 @@
 #!/bin/sh
 # Exit status: 1 if the rule was broken, 0 if it held, 2 if not run.
+# With TROUBLE=0 there is no disruption.
 cd "$(dirname "$0")" || exit 2
-PYTHONPATH=.. exec timeout 118 python3 -B case.py
+PYTHONPATH=.. TROUBLE="${TROUBLE:-1}" exec python3 -B case.py record.txt
