ingress, transport: log each attempt of a write that is not confirmed

A refused submission logged its status only; the record of REFUSED can't tell a write that was sent twice (hypothesis 1) from one that was never sent (2) or was answered 503 (3).

Change: 'write not confirmed' names the key, whether the write may have taken effect, and for each attempt its effect and cause. The cause says when the connection broke and the call was sent a second time. No decision changes.

--- a/src/nutmegworks/fleet/transport.py
+++ b/src/nutmegworks/fleet/transport.py
@@ -366,11 +366,13 @@
         answer = await self._exchange(
             self._address, request, timeout, on_first_byte=on_first_byte
         )
+        broken = ''
         if isinstance(answer, result.Err):
             error = answer.err_value
             # The store may have closed an idle connection; only a failure of
             # a new connection indicates that the store is not available.
             if not error.first_use and error.fault is client.Fault.CLOSED:
+                broken = f'connection broke: {error.detail}; '
                 answer = await self._exchange(
                     self._address,
                     request,
@@ -379,12 +381,12 @@
                     on_first_byte=on_first_byte,
                 )
         if isinstance(answer, result.Err):
-            return _failure(answer.err_value)
+            return _failure(answer.err_value, broken)
         response = answer.ok_value
         if response.status in _OVERLOADED:
             return Failure(
                 interfaces.Effect.NONE,
-                f'status {response.status}',
+                f'{broken}status {response.status}',
                 reached=True,
                 contact=True,
             )
@@ -454,11 +456,13 @@
         return response
 
 
-def _failure(error: client.ExchangeError) -> Failure:
+def _failure(error: client.ExchangeError, context: str = '') -> Failure:
     effect = interfaces.Effect.NONE
     if error.may_have_reached_peer:
         effect = interfaces.Effect.UNKNOWN
-    return Failure(effect, f'{error.fault.value}: {error.detail}', False)
+    return Failure(
+        effect, f'{context}{error.fault.value}: {error.detail}', False
+    )
 
 
 __all__ = (
--- a/src/nutmegworks/ingress/jobs.py
+++ b/src/nutmegworks/ingress/jobs.py
@@ -112,10 +112,8 @@
         Repeats the write while its outcome is unknown.
         """
         if self._store.is_down():
-            return result.Err(
-                interfaces.StoreError(
-                    interfaces.Effect.NONE, 'the store does not answer'
-                )
+            return _not_written(
+                key, interfaces.Effect.NONE, ['not sent: the store is down']
             )
         budget = min(
             WRITE_TIMEOUT_SECONDS, call.timeout - RESPONSE_MARGIN_SECONDS
@@ -125,6 +123,7 @@
             {key: interfaces.ABSENT}, (interfaces.Write(key, value), )
         )
         effect = interfaces.Effect.NONE
+        details: list[str] = []
         while True:
             remaining = deadline - time.monotonic()
             committed = await self._store.commit(
@@ -136,11 +135,12 @@
                 # an earlier call of the client created it.
                 return result.Ok(None)
             error = committed.err_value
+            details.append(f'{error.effect.value}: {error.detail}')
             if error.effect is interfaces.Effect.UNKNOWN:
                 effect = interfaces.Effect.UNKNOWN
             has_no_effect = effect is interfaces.Effect.NONE
             if has_no_effect or time.monotonic() > deadline - 0.1:
-                return result.Err(interfaces.StoreError(effect, error.detail))
+                return _not_written(key, effect, details)
 
     async def _show(self, call: calls.Call) -> message.Response:
         job_id = ids.JobId(call.job_name)
@@ -211,4 +211,23 @@
         return message.json_response(200, {'pending': pending})
 
 
+def _not_written(
+    key: str,
+    effect: interfaces.Effect,
+    details: typing.Sequence[str],
+) -> result.Err[interfaces.StoreError]:
+    """Log and return the outcome of a write that was not confirmed.
+
+    :param effect: of all attempts together.
+    :param details: effect and cause of the failure of each attempt.
+    """
+    _LOG.info(
+        'write not confirmed',
+        key=key,
+        effect=effect.value,
+        attempts=list(details),
+    )
+    return result.Err(interfaces.StoreError(effect, '; '.join(details)))
+
+
 __all__ = ('JobHandler', )
