fleet: the messages of relayed calls in a module of their own

No behaviour changes. Both ends of a relayed call are read in one place (fleet/relay.py), so that a test can run a relaying peer without a daemon, and the composition root no longer translates messages.

--- a/src/nutmegworks/daemon/fleetnode.py
+++ b/src/nutmegworks/daemon/fleetnode.py
@@ -17,6 +17,7 @@
 from nutmegworks.fleet import leader_client
 from nutmegworks.fleet import membership
 from nutmegworks.fleet import prefix_watcher
+from nutmegworks.fleet import relay
 from nutmegworks.fleet import supervision
 from nutmegworks.fleet import transport
 from nutmegworks.ingress import call as calls
@@ -165,8 +166,8 @@
     ) -> message.Response:
         path, _, query = request.target.partition('?')
         parameters = dict(urllib.parse.parse_qsl(query))
-        if path == transport.RELAY_PATH:
-            return await self._relay(request)
+        if path == relay.PATH:
+            return await relay.serve(self._store_transport, request)
         if path == METRICS_PATH:
             return self._render_metrics()
         term = leader_client.serving_term(self._candidate)
@@ -204,27 +205,6 @@
             metrics.workers.set({}, available_workers)
         return metrics.render()
 
-    async def _relay(self, request: message.Request) -> message.Response:
-        """Send a peer's call to the store on its behalf."""
-        relayed_request = message.Request(
-            request.headers[transport.METHOD_HEADER],
-            request.headers[transport.TARGET_HEADER],
-            {'content-type': 'application/json'},
-            request.body,
-        )
-        timeout = float(request.headers[transport.TIMEOUT_HEADER])
-        outcome = await self._store_transport.direct(
-            relayed_request, 0.9 * timeout
-        )
-        if isinstance(outcome, transport.Failure):
-            headers = {transport.FAILED_HEADER: outcome.effect.value}
-            return message.Response(503, headers)
-        return message.Response(
-            outcome.status,
-            {'content-type': 'application/json'},
-            outcome.body,
-        )
-
     async def run(self) -> bool:
         """Serve until SIGTERM or SIGINT.
 
--- a/src/nutmegworks/fleet/transport.py
+++ b/src/nutmegworks/fleet/transport.py
@@ -6,7 +6,6 @@
 """
 from __future__ import annotations
 
-import dataclasses
 import random
 import time
 import typing
@@ -17,6 +16,7 @@
 
 from nutmegworks.fleet import attempts
 from nutmegworks.fleet import interfaces
+from nutmegworks.fleet import relay
 from nutmegworks.model import ids
 from nutmegworks.net import client
 from nutmegworks.net import message
@@ -53,36 +53,12 @@
 # within this time even when it is slow.
 DOWN_AFTER_SECONDS: typing.Final = 1.2
 
-RELAY_PATH: typing.Final = '/relay'
-TARGET_HEADER: typing.Final = 'nutmeg-relay-target'
-METHOD_HEADER: typing.Final = 'nutmeg-relay-method'
-# Set by the peer when the store did not answer it; the value tells whether the
-# call may have taken effect.
-FAILED_HEADER: typing.Final = 'nutmeg-relay-failed'
-TIMEOUT_HEADER: typing.Final = 'nutmeg-relay-timeout'
-
 _OVERLOADED: typing.Final = frozenset({429, 503})
 
 Outcome = result.Result[message.Response, interfaces.StoreError]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Failure:
-    """A call over one route without a usable answer from the store.
-
-    :param effect: whether the call may have taken effect nevertheless.
-    :param detail: cause of the failure, for logs.
-    :param reached: the other end of the route, store or peer, answered.
-    :param contact: an answer came from outside of this host's failure domain.
-    """
-
-    effect: interfaces.Effect
-    detail: str
-    reached: bool
-    contact: bool = False
-
-
-class Transport:
+class Transport(relay.DirectRoute):
     """Sends calls to the store over the best available route.
 
     :param address: of the store.
@@ -177,7 +153,7 @@
         routes: typing.Sequence[store_routes.Route],
         request: message.Request,
         timeout: float,
-    ) -> tuple[message.Response | None, list[Failure]]:
+    ) -> tuple[message.Response | None, list[relay.Failure]]:
 
         async def send(attempt: attempts.Attempt) -> Outcome:
 
@@ -191,7 +167,7 @@
         ).run(routes)
         await self._record_given_up(tried, response is not None)
         return response, [
-            attempt.outcome or Failure(
+            attempt.outcome or relay.Failure(
                 interfaces.Effect.UNKNOWN, 'given up: the route has failed',
                 False
             )
@@ -211,7 +187,7 @@
                     and waited > attempts.NEXT_ROUTE_SECONDS):
                 await self._record(
                     attempt.route,
-                    Failure(
+                    relay.Failure(
                         interfaces.Effect.UNKNOWN,
                         f'no answer in {waited:.3f} s, another route answered',
                         False,
@@ -224,8 +200,8 @@
         routes: typing.Sequence[store_routes.Route],
         request: message.Request,
         timeout: float,
-    ) -> tuple[message.Response | None, list[Failure]]:
-        failures: list[Failure] = []
+    ) -> tuple[message.Response | None, list[relay.Failure]]:
+        failures: list[relay.Failure] = []
         for route in routes:
             outcome = await self._send(route, request, timeout)
             if isinstance(outcome, message.Response):
@@ -241,7 +217,7 @@
         request: message.Request,
         timeout: float,
         on_first_byte: typing.Callable[[], None] | None = None,
-    ) -> message.Response | Failure:
+    ) -> message.Response | relay.Failure:
         if route is store_routes.DIRECT:
             return await self._direct(request, timeout, on_first_byte)
         started_at = self._clock()
@@ -252,7 +228,7 @@
     async def _record(
         self,
         route: store_routes.Route,
-        outcome: message.Response | Failure,
+        outcome: message.Response | relay.Failure,
         started_at: float,
     ) -> None:
         """Record the result of a route and tell it to waiting calls."""
@@ -313,7 +289,7 @@
 
     def _summarize(
         self,
-        failures: typing.Sequence[Failure],
+        failures: typing.Sequence[relay.Failure],
     ) -> interfaces.StoreError:
         unknown = interfaces.Effect.UNKNOWN
         effect = interfaces.Effect.NONE
@@ -332,14 +308,14 @@
         self,
         request: message.Request,
         timeout: float,
-    ) -> message.Response | Failure:
+    ) -> message.Response | relay.Failure:
         """Send a call on behalf of a peer over the direct route only.
 
         While that is down the call fails at once, so that the peer can take
         another route.
         """
         if not self._routes.direct_is_up:
-            return Failure(
+            return relay.Failure(
                 interfaces.Effect.NONE, 'direct route to store is down', False
             )
         return await self._direct(request, timeout)
@@ -349,7 +325,7 @@
         request: message.Request,
         timeout: float,
         on_first_byte: typing.Callable[[], None] | None = None,
-    ) -> message.Response | Failure:
+    ) -> message.Response | relay.Failure:
         started_at = self._clock()
         outcome = await self._exchange_with_store(
             request, timeout, on_first_byte
@@ -362,7 +338,7 @@
         request: message.Request,
         timeout: float,
         on_first_byte: typing.Callable[[], None] | None,
-    ) -> message.Response | Failure:
+    ) -> message.Response | relay.Failure:
         answer = await self._exchange(
             self._address, request, timeout, on_first_byte=on_first_byte
         )
@@ -384,7 +360,7 @@
             return _failure(answer.err_value, broken)
         response = answer.ok_value
         if response.status in _OVERLOADED:
-            return Failure(
+            return relay.Failure(
                 interfaces.Effect.NONE,
                 f'{broken}status {response.status}',
                 reached=True,
@@ -426,18 +402,10 @@
         request: message.Request,
         timeout: float,
         on_first_byte: typing.Callable[[], None] | None,
-    ) -> message.Response | Failure:
-        headers = {
-            METHOD_HEADER: request.method,
-            TARGET_HEADER: request.target,
-            TIMEOUT_HEADER: f'{timeout:.3f}',
-        }
-        relay_request = message.Request(
-            'POST', RELAY_PATH, headers, request.body
-        )
+    ) -> message.Response | relay.Failure:
         answer = await self._exchange(
             peer.address,
-            relay_request,
+            relay.encode(request, timeout),
             timeout,
             reads=request.method == 'GET',
             on_first_byte=on_first_byte,
@@ -445,10 +413,10 @@
         if isinstance(answer, result.Err):
             return _failure(answer.err_value)
         response = answer.ok_value
-        failed = response.headers.get(FAILED_HEADER)
-        if failed is not None:
-            return Failure(
-                interfaces.Effect(failed),
+        answered = relay.decode_failure(response)
+        if isinstance(answered, result.Err):
+            return relay.Failure(
+                answered.err_value,
                 f'store did not answer peer {peer.address[0]}',
                 reached=True,
                 contact=self._routes.is_outside(peer, self._peers()),
@@ -456,22 +424,13 @@
         return response
 
 
-def _failure(error: client.ExchangeError, context: str = '') -> Failure:
+def _failure(error: client.ExchangeError, context: str = '') -> relay.Failure:
     effect = interfaces.Effect.NONE
     if error.may_have_reached_peer:
         effect = interfaces.Effect.UNKNOWN
-    return Failure(
+    return relay.Failure(
         effect, f'{context}{error.fault.value}: {error.detail}', False
     )
 
 
-__all__ = (
-    'CALL_TIMEOUT_SECONDS',
-    'FAILED_HEADER',
-    'Failure',
-    'METHOD_HEADER',
-    'RELAY_PATH',
-    'TARGET_HEADER',
-    'TIMEOUT_HEADER',
-    'Transport',
-)
+__all__ = ('CALL_TIMEOUT_SECONDS', 'Transport')
--- a/tests/fleet/test_outage_and_cut.py
+++ b/tests/fleet/test_outage_and_cut.py
@@ -10,6 +10,7 @@
 
 from nutmegworks.fleet import interfaces
 from nutmegworks.fleet import prefix_watcher
+from nutmegworks.fleet import relay
 from nutmegworks.fleet import transport
 from nutmegworks.model import ids
 from nutmegworks.net import message
@@ -216,7 +217,7 @@
     """
 
     async def fail(_: message.Request) -> message.Response:
-        return message.Response(503, {transport.FAILED_HEADER: 'none'})
+        return message.Response(503, {relay.FAILED_HEADER: 'none'})
 
     async def main() -> None:
         endpoints = _Endpoints()
--- a/tests/fleet/test_transport.py
+++ b/tests/fleet/test_transport.py
@@ -6,6 +6,7 @@
 import curio
 
 from nutmegworks.fleet import interfaces
+from nutmegworks.fleet import relay
 from nutmegworks.fleet import transport
 from nutmegworks.model import ids
 from nutmegworks.net import message
@@ -31,7 +32,7 @@
         return message.Response(self.store_status, {}, b'direct')
 
     async def peer(self, request: message.Request) -> message.Response:
-        self.relayed.append(request.headers[transport.TARGET_HEADER])
+        self.relayed.append(request.headers[relay.TARGET_HEADER])
         return message.Response(200, {}, b'relayed')
 
 
