transport: a repeated write is without effect only if every send was

What callers saw: REFUSED. All attempts of a client to hand in a job were answered 503, 'not accepted and never runs', and the job ran.

Cause: when a connection that was used before breaks, a call is sent again over a new one. The outcome of the second send (503 or 429 from the store, or no connection) replaced that of the first, which may have taken effect: Effect.NONE in place of UNKNOWN. JobHandler then answers 503 in place of 504 and does not repeat the write. A peer that relays a call did the same.

Class: several tries of one call become one verdict, and the last one wins.

Change: policy/call_effect.combine is the only place where the effects of several sends become one: none if each had none. The transport's second send, the routes of a call and the attempts of a submission or cancel all use it. The log's cause names both sends.

Why this works: a call without effect is now a statement about every send. A submission whose first send is in doubt is repeated until its time is over and gets 200 if the store is back, otherwise 504.

--- a/src/nutmegworks/fleet/interfaces.py
+++ b/src/nutmegworks/fleet/interfaces.py
@@ -9,6 +9,7 @@
 import result
 
 from nutmegworks.model import ids
+from nutmegworks.policy import call_effect
 from nutmegworks.tasks import configuration as configurations
 from nutmegworks.tasks import spec
 from nutmegworks.tasks import workers
@@ -19,13 +20,6 @@
 ABSENT: typing.Final = ids.StoreRevision(0)
 
 
-class Effect(enum.Enum):
-    """Whether a failed call may have taken effect."""
-
-    NONE = 'none'
-    UNKNOWN = 'unknown'
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreError:
     """A store call that failed or returned an unusable answer.
@@ -36,7 +30,7 @@
         answered.
     """
 
-    effect: Effect
+    effect: call_effect.Effect
     detail: str
     isolated: bool = False
 
@@ -298,7 +292,6 @@
     'Commit',
     'CommitOutcome',
     'Decoder',
-    'Effect',
     'HistoryLostError',
     'Item',
     'LeaseId',
--- a/src/nutmegworks/fleet/relay.py
+++ b/src/nutmegworks/fleet/relay.py
@@ -7,8 +7,8 @@
 
 import result
 
-from nutmegworks.fleet import interfaces
 from nutmegworks.net import message
+from nutmegworks.policy import call_effect
 
 PATH: typing.Final = '/relay'
 TARGET_HEADER: typing.Final = 'nutmeg-relay-target'
@@ -32,11 +32,19 @@
     :param contact: an answer came from outside of this host's failure domain.
     """
 
-    effect: interfaces.Effect
+    effect: call_effect.Effect
     detail: str
     reached: bool
     contact: bool = False
 
+    def after(self, earlier: Failure) -> Failure:
+        """Return this failure of a call that was sent once before."""
+        return dataclasses.replace(
+            self,
+            effect=call_effect.combine((earlier.effect, self.effect)),
+            detail=f'{earlier.detail}; sent again: {self.detail}',
+        )
+
 
 class DirectRoute(abc.ABC):
     """This host's own route to the store."""
@@ -68,7 +76,7 @@
 
 def decode_failure(
     response: message.Response,
-) -> result.Result[None, interfaces.Effect]:
+) -> result.Result[None, call_effect.Effect]:
     """Return the effect of a call that the store did not answer to the peer.
 
     :return: Ok if the response is the store's own.
@@ -76,7 +84,7 @@
     failed = response.headers.get(FAILED_HEADER)
     if failed is None:
         return result.Ok(None)
-    return result.Err(interfaces.Effect(failed))
+    return result.Err(call_effect.Effect(failed))
 
 
 async def serve(
--- a/src/nutmegworks/fleet/transport.py
+++ b/src/nutmegworks/fleet/transport.py
@@ -21,6 +21,7 @@
 from nutmegworks.net import client
 from nutmegworks.net import message
 from nutmegworks.net import pool
+from nutmegworks.policy import call_effect
 from nutmegworks.policy import store_routes
 from nutmegworks.telemetry import fleetmetrics
 
@@ -56,6 +57,7 @@
 _OVERLOADED: typing.Final = frozenset({429, 503})
 
 Outcome = result.Result[message.Response, interfaces.StoreError]
+_Answer = result.Result[message.Response, client.ExchangeError]
 
 
 class Transport(relay.DirectRoute):
@@ -168,7 +170,7 @@
         await self._record_given_up(tried, response is not None)
         return response, [
             attempt.outcome or relay.Failure(
-                interfaces.Effect.UNKNOWN, 'given up: the route has failed',
+                call_effect.Effect.UNKNOWN, 'given up: the route has failed',
                 False
             )
             for attempt in tried
@@ -188,7 +190,7 @@
                 await self._record(
                     attempt.route,
                     relay.Failure(
-                        interfaces.Effect.UNKNOWN,
+                        call_effect.Effect.UNKNOWN,
                         f'no answer in {waited:.3f} s, another route answered',
                         False,
                     ),
@@ -207,7 +209,7 @@
             if isinstance(outcome, message.Response):
                 return outcome, failures
             failures.append(outcome)
-            if outcome.effect is interfaces.Effect.UNKNOWN:
+            if outcome.effect is call_effect.Effect.UNKNOWN:
                 break
         return None, failures
 
@@ -291,10 +293,7 @@
         self,
         failures: typing.Sequence[relay.Failure],
     ) -> interfaces.StoreError:
-        unknown = interfaces.Effect.UNKNOWN
-        effect = interfaces.Effect.NONE
-        if any(failure.effect is unknown for failure in failures):
-            effect = unknown
+        effect = call_effect.combine(failure.effect for failure in failures)
         # Peers in a domain that is cut off answer each other.
         isolated = not any(failure.contact for failure in failures)
         if isolated and self._isolated_since is None:
@@ -316,7 +315,7 @@
         """
         if not self._routes.direct_is_up:
             return relay.Failure(
-                interfaces.Effect.NONE, 'direct route to store is down', False
+                call_effect.Effect.NONE, 'direct route to store is down', False
             )
         return await self._direct(request, timeout)
 
@@ -342,31 +341,19 @@
         answer = await self._exchange(
             self._address, request, timeout, on_first_byte=on_first_byte
         )
-        broken = ''
-        if isinstance(answer, result.Err):
-            error = answer.err_value
-            # The store may have closed an idle connection; only a failure of
-            # a new connection indicates that the store is not available.
-            if not error.first_use and error.fault is client.Fault.CLOSED:
-                broken = f'connection broke: {error.detail}; '
-                answer = await self._exchange(
-                    self._address,
-                    request,
-                    timeout,
-                    fresh=True,
-                    on_first_byte=on_first_byte,
-                )
-        if isinstance(answer, result.Err):
-            return _failure(answer.err_value, broken)
-        response = answer.ok_value
-        if response.status in _OVERLOADED:
-            return relay.Failure(
-                interfaces.Effect.NONE,
-                f'{broken}status {response.status}',
-                reached=True,
-                contact=True,
-            )
-        return response
+        if not _may_have_been_idle_too_long(answer):
+            return _outcome(answer)
+        repeated = await self._exchange(
+            self._address,
+            request,
+            timeout,
+            fresh=True,
+            on_first_byte=on_first_byte,
+        )
+        outcome = _outcome(repeated)
+        if isinstance(outcome, message.Response):
+            return outcome
+        return outcome.after(_failure(answer.err_value))
 
     async def _exchange(
         self,
@@ -424,13 +411,37 @@
         return response
 
 
-def _failure(error: client.ExchangeError, context: str = '') -> relay.Failure:
-    effect = interfaces.Effect.NONE
+def _may_have_been_idle_too_long(answer: _Answer) -> bool:
+    """Return whether a connection broke that the store may have closed.
+
+    Only a failure of a new connection shows that the store is not available.
+    """
+    if answer.is_ok():
+        return False
+    error = answer.err_value
+    return not error.first_use and error.fault is client.Fault.CLOSED
+
+
+def _outcome(answer: _Answer) -> message.Response | relay.Failure:
+    """Return the outcome of a call that was sent to the store once."""
+    if answer.is_err():
+        return _failure(answer.err_value)
+    response = answer.ok_value
+    if response.status in _OVERLOADED:
+        return relay.Failure(
+            call_effect.Effect.NONE,
+            f'status {response.status}',
+            reached=True,
+            contact=True,
+        )
+    return response
+
+
+def _failure(error: client.ExchangeError) -> relay.Failure:
+    effect = call_effect.Effect.NONE
     if error.may_have_reached_peer:
-        effect = interfaces.Effect.UNKNOWN
-    return relay.Failure(
-        effect, f'{context}{error.fault.value}: {error.detail}', False
-    )
+        effect = call_effect.Effect.UNKNOWN
+    return relay.Failure(effect, f'{error.fault.value}: {error.detail}', False)
 
 
 __all__ = ('CALL_TIMEOUT_SECONDS', 'Transport')
--- a/src/nutmegworks/ingress/jobs.py
+++ b/src/nutmegworks/ingress/jobs.py
@@ -13,6 +13,7 @@
 from nutmegworks.ingress import call as calls
 from nutmegworks.model import ids
 from nutmegworks.net import message
+from nutmegworks.policy import call_effect
 from nutmegworks.tasks import records
 
 _LOG: typing.Final = logbook.Logger('ingress')
@@ -97,7 +98,7 @@
         if outcome.is_ok():
             self._state_by_id.setdefault(job_id, records.JobState.QUEUED)
             return message.json_response(200, {})
-        if outcome.err_value.effect is interfaces.Effect.NONE:
+        if outcome.err_value.effect is call_effect.Effect.NONE:
             return calls.refuse(503, 'the job could not be stored')
         return calls.refuse(504, 'the job may have been stored')
 
@@ -112,9 +113,7 @@
         Repeats the write while its outcome is unknown.
         """
         if self._store.is_down():
-            return _not_written(
-                key, interfaces.Effect.NONE, ['not sent: the store is down']
-            )
+            return _not_written(key, [])
         budget = min(
             WRITE_TIMEOUT_SECONDS, call.timeout - RESPONSE_MARGIN_SECONDS
         )
@@ -122,8 +121,7 @@
         transaction = interfaces.Transaction(
             {key: interfaces.ABSENT}, (interfaces.Write(key, value), )
         )
-        effect = interfaces.Effect.NONE
-        details: list[str] = []
+        errors: list[interfaces.StoreError] = []
         while True:
             remaining = deadline - time.monotonic()
             committed = await self._store.commit(
@@ -134,13 +132,11 @@
                 # A conflict means that the key exists: an earlier attempt or
                 # an earlier call of the client created it.
                 return result.Ok(None)
-            error = committed.err_value
-            details.append(f'{error.effect.value}: {error.detail}')
-            if error.effect is interfaces.Effect.UNKNOWN:
-                effect = interfaces.Effect.UNKNOWN
-            has_no_effect = effect is interfaces.Effect.NONE
+            errors.append(committed.err_value)
+            effect = call_effect.combine(error.effect for error in errors)
+            has_no_effect = effect is call_effect.Effect.NONE
             if has_no_effect or time.monotonic() > deadline - 0.1:
-                return _not_written(key, effect, details)
+                return _not_written(key, errors)
 
     async def _show(self, call: calls.Call) -> message.Response:
         job_id = ids.JobId(call.job_name)
@@ -188,7 +184,7 @@
         outcome = await self._create(call, records.cancel_key(job_id), b'{}')
         if outcome.is_ok():
             return message.json_response(200, {})
-        if outcome.err_value.effect is interfaces.Effect.NONE:
+        if outcome.err_value.effect is call_effect.Effect.NONE:
             return calls.refuse(503, 'the cancel could not be stored')
         return calls.refuse(504, 'the cancel may have been stored')
 
@@ -213,19 +209,19 @@
 
 def _not_written(
     key: str,
-    effect: interfaces.Effect,
-    details: typing.Sequence[str],
+    errors: typing.Sequence[interfaces.StoreError],
 ) -> result.Err[interfaces.StoreError]:
     """Log and return the outcome of a write that was not confirmed.
 
-    :param effect: of all attempts together.
-    :param details: effect and cause of the failure of each attempt.
+    :param errors: of the attempts; none if the store is known to be down.
     """
+    effect = call_effect.combine(error.effect for error in errors)
+    details = [f'{error.effect.value}: {error.detail}' for error in errors]
     _LOG.info(
         'write not confirmed',
         key=key,
         effect=effect.value,
-        attempts=list(details),
+        attempts=details,
     )
     return result.Err(interfaces.StoreError(effect, '; '.join(details)))
 
--- a/src/nutmegworks/platform/metastore.py
+++ b/src/nutmegworks/platform/metastore.py
@@ -12,6 +12,7 @@
 from nutmegworks.fleet import transport
 from nutmegworks.model import ids
 from nutmegworks.net import message
+from nutmegworks.policy import call_effect
 
 # Added to the wait of a watch, for the answer to arrive.
 WATCH_MARGIN_SECONDS: typing.Final = 0.6
@@ -57,12 +58,12 @@
     lease: int
 
 
-def _error(detail: str, effect: interfaces.Effect) -> result.Err:
+def _error(detail: str, effect: call_effect.Effect) -> result.Err:
     return result.Err(interfaces.StoreError(effect, detail))
 
 
 # An answer of an unexpected form does not tell whether the call took effect.
-_UNEXPECTED_ANSWER: typing.Final = interfaces.Effect.UNKNOWN
+_UNEXPECTED_ANSWER: typing.Final = call_effect.Effect.UNKNOWN
 
 _Document = typing.TypeVar('_Document')
 
--- a/tests/fleet/memory.py
+++ b/tests/fleet/memory.py
@@ -9,6 +9,7 @@
 
 from nutmegworks.fleet import interfaces
 from nutmegworks.model import ids
+from nutmegworks.policy import call_effect
 from nutmegworks.tasks import spec
 from nutmegworks.tasks import workers
 
@@ -17,7 +18,7 @@
 MAX_ENTRIES: typing.Final = 32
 
 _DOWN: typing.Final = result.Err(
-    interfaces.StoreError(interfaces.Effect.NONE, 'down')
+    interfaces.StoreError(call_effect.Effect.NONE, 'down')
 )
 
 
@@ -136,7 +137,9 @@
         )
         if entries > MAX_ENTRIES:
             return result.Err(
-                interfaces.StoreError(interfaces.Effect.UNKNOWN, 'status 400')
+                interfaces.StoreError(
+                    call_effect.Effect.UNKNOWN, 'status 400'
+                )
             )
         if self.hold_commits:
             self._held.append(transaction)
@@ -222,7 +225,7 @@
 
 def _lost_answer() -> result.Err[interfaces.StoreError]:
     return result.Err(
-        interfaces.StoreError(interfaces.Effect.UNKNOWN, 'no answer')
+        interfaces.StoreError(call_effect.Effect.UNKNOWN, 'no answer')
     )
 
 
--- a/tests/fleet/test_transport.py
+++ b/tests/fleet/test_transport.py
@@ -5,12 +5,12 @@
 
 import curio
 
-from nutmegworks.fleet import interfaces
 from nutmegworks.fleet import relay
 from nutmegworks.fleet import transport
 from nutmegworks.model import ids
 from nutmegworks.net import message
 from nutmegworks.net import server
+from nutmegworks.policy import call_effect
 from nutmegworks.policy import store_routes
 from tests.fleet import builders
 from tests import helpers
@@ -88,7 +88,7 @@
         answer = await store_transport.call(
             'POST', '/kv-txn', b'{}', timeout=0.2, idempotent=False
         )
-        assert answer.err_value.effect is interfaces.Effect.UNKNOWN
+        assert answer.err_value.effect is call_effect.Effect.UNKNOWN
         assert endpoints.relayed == []
 
     _run(scenario)
@@ -120,7 +120,7 @@
         answer = await store_transport.call(
             'POST', '/kv-txn', idempotent=False
         )
-        assert answer.err_value.effect is interfaces.Effect.NONE
+        assert answer.err_value.effect is call_effect.Effect.NONE
         assert not answer.err_value.isolated
 
     _run(scenario, with_peer=False)
--- a/tests/ingress/test_broken_connections.py
+++ b/tests/ingress/test_broken_connections.py
@@ -12,6 +12,7 @@
 from nutmegworks.net import message
 from nutmegworks.net import server
 from nutmegworks.platform import metastore
+from nutmegworks.policy import call_effect
 from nutmegworks.policy import store_routes
 from nutmegworks.tasks import records
 from tests.fleet import builders as fleet_builders
@@ -154,6 +155,6 @@
                 repeatable=True,
             )
         assert 'a' in store.stand_in.store.item_by_key
-        assert committed.err_value.effect is interfaces.Effect.UNKNOWN
+        assert committed.err_value.effect is call_effect.Effect.UNKNOWN
 
     helpers.run(main)
