ingress: a write in doubt is repeated at a bounded rate

What the store saw: 2,611 calls in 1.4 s for one submission, on a test store that breaks the connection of a write and then answers 503. Each attempt was refused at once, and the next one followed without a pause; over the limits of the platform's store (400 writes a second for all hosts) these calls are refused as well and keep others out.

Cause: attempts were paced only by their time limits.

Change: attempts begin at least 0.15 s apart, with jitter.

--- a/src/nutmegworks/ingress/jobs.py
+++ b/src/nutmegworks/ingress/jobs.py
@@ -2,9 +2,11 @@
 from __future__ import annotations
 
 import collections
+import random
 import time
 import typing
 
+import curio
 import logbook
 import result
 
@@ -26,6 +28,13 @@
 # Limit of one attempt to write. Even a slow store answers within 0.25 s; after
 # a lost answer the next attempt finds that the key exists.
 ATTEMPT_TIMEOUT_SECONDS: typing.Final = 0.45
+# Shortest interval of the attempts to write; an overloaded store refuses at
+# once, and every host with a write in doubt repeats it. Varied by up to half,
+# because all hosts lose the store at the same time.
+ATTEMPT_INTERVAL_SECONDS: typing.Final = 0.15
+ATTEMPT_JITTER: typing.Final = 0.5
+# Least time for the last attempt.
+MIN_ATTEMPT_SECONDS: typing.Final = 0.1
 # Limit of the cache of job states, which answers clients that query again
 # after the end of their job, also while the store is down.
 MAX_CACHED_STATES: typing.Final = 2000
@@ -123,10 +132,10 @@
         )
         errors: list[interfaces.StoreError] = []
         while True:
-            remaining = deadline - time.monotonic()
+            sent_at = time.monotonic()
+            timeout = min(ATTEMPT_TIMEOUT_SECONDS, deadline - sent_at)
             committed = await self._store.commit(
-                transaction,
-                timeout=max(0.1, min(ATTEMPT_TIMEOUT_SECONDS, remaining))
+                transaction, timeout=max(MIN_ATTEMPT_SECONDS, timeout)
             )
             if committed.is_ok():
                 # A conflict means that the key exists: an earlier attempt or
@@ -134,9 +143,11 @@
                 return result.Ok(None)
             errors.append(committed.err_value)
             effect = call_effect.combine(error.effect for error in errors)
+            next_at = max(time.monotonic(), sent_at + _attempt_interval())
             has_no_effect = effect is call_effect.Effect.NONE
-            if has_no_effect or time.monotonic() > deadline - 0.1:
+            if has_no_effect or next_at > deadline - MIN_ATTEMPT_SECONDS:
                 return _not_written(key, errors)
+            await curio.sleep(next_at - time.monotonic())
 
     async def _show(self, call: calls.Call) -> message.Response:
         job_id = ids.JobId(call.job_name)
@@ -207,6 +218,10 @@
         return message.json_response(200, {'pending': pending})
 
 
+def _attempt_interval() -> float:
+    return ATTEMPT_INTERVAL_SECONDS * random.uniform(1, 1 + ATTEMPT_JITTER)
+
+
 def _not_written(
     key: str,
     errors: typing.Sequence[interfaces.StoreError],
--- a/tests/ingress/test_broken_connections.py
+++ b/tests/ingress/test_broken_connections.py
@@ -8,6 +8,7 @@
 
 from nutmegworks.fleet import interfaces
 from nutmegworks.fleet import relay
+from nutmegworks.ingress import jobs
 from nutmegworks.model import ids
 from nutmegworks.net import message
 from nutmegworks.net import server
@@ -28,16 +29,19 @@
         connection closed without an answer.
     :ivar status_after: status of all later answers; None if the store refuses
         connections from then on.
+    :ivar call_count: calls received.
     """
 
     def __init__(self, status_after: int | None) -> None:
         self.stand_in = platform.StoreStandIn()
         self.breaks = False
         self.status_after = status_after
+        self.call_count = 0
         self._broken = False
         self._server = server.Server(self._handle)
 
     async def _handle(self, request: message.Request) -> message.Response:
+        self.call_count += 1
         if self._broken:
             return message.Response(self.status_after or 503)
         response = await self.stand_in.handle(request)
@@ -136,6 +140,26 @@
     helpers.run(main)
 
 
+def test_write_in_doubt_is_repeated_at_a_bounded_rate() -> None:
+    """Guards against calls that keep a store from recovering.
+
+    Each attempt is refused at once, while the first one is still in doubt.
+    """
+
+    async def main() -> None:
+        store = _BreakingStore(503)
+        async with _ingress(store, relayed=False) as ingress:
+            await _use_connections(ingress)
+            store.breaks = True
+            store.call_count = 0
+            assert (await ingress.submit()).status == 504
+        limit = jobs.WRITE_TIMEOUT_SECONDS / jobs.ATTEMPT_INTERVAL_SECONDS
+        # The first attempt sends the call twice.
+        assert store.call_count <= limit + 2
+
+    helpers.run(main)
+
+
 def test_repeatable_write_over_a_broken_connection_may_have_effect() -> None:
     """Guards against a journal that takes a stored batch for unwritten."""
 
