net: an idle connection that has anything to read is not used

What callers saw: nothing that a record shows.

Cause: bytes that a server sends on an idle connection were read as the response to the next request. A server that stops may answer 503 there; a write that is sent on such a connection counted as refused without effect, whether or not the server carried it out. And a request was sent over a connection that the server had closed before, so that a write was in doubt which could have been known not to be sent.

Change: before a connection is reused it is polled; with anything to read, the end of the stream included, it is closed and the next one is taken.

Evidence: tests/net/test_client.py:: test_idle_connection_with_anything_to_read_is_not_used failed 2 of 2 before: the 503 was returned as the answer, and the closed connection was used. Both pass now, as do tests/net, tests/ingress and tests/fleet/test_transport.py.

Also: a pause between attempts is never negative.

--- a/src/nutmegworks/ingress/jobs.py
+++ b/src/nutmegworks/ingress/jobs.py
@@ -147,7 +147,7 @@
             has_no_effect = effect is call_effect.Effect.NONE
             if has_no_effect or next_at > deadline - MIN_ATTEMPT_SECONDS:
                 return _not_written(key, errors)
-            await curio.sleep(next_at - time.monotonic())
+            await curio.sleep(max(0.0, next_at - time.monotonic()))
 
     async def _show(self, call: calls.Call) -> message.Response:
         job_id = ids.JobId(call.job_name)
--- a/src/nutmegworks/net/client.py
+++ b/src/nutmegworks/net/client.py
@@ -3,6 +3,7 @@
 
 import dataclasses
 import enum
+import select
 import socket
 import time
 import typing
@@ -99,6 +100,16 @@
     def reusable(self) -> bool:
         return self._open and self._http.our_state is h11.IDLE
 
+    def is_idle(self) -> bool:
+        """Return whether the peer has neither closed it nor sent anything.
+
+        Bytes that arrive between two exchanges are no response to the next
+        request.
+        """
+        poller = select.poll()
+        poller.register(self._sock.fileno(), select.POLLIN)
+        return not poller.poll(0)
+
     async def exchange(
         self,
         request: message.Request,
--- a/src/nutmegworks/net/pool.py
+++ b/src/nutmegworks/net/pool.py
@@ -101,7 +101,8 @@
         idle = self._idle_by_address.get(address)
         while idle:
             idle_since, connection = idle.pop()
-            if self._clock() - idle_since < self._idle_timeout:
+            expired = self._clock() - idle_since >= self._idle_timeout
+            if not expired and connection.is_idle():
                 return connection
             await connection.close()
         return None
--- a/tests/net/test_client.py
+++ b/tests/net/test_client.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import curio
+import curio.socket
 import pytest
 
 from nutmegworks.net import client
@@ -108,6 +109,62 @@
     helpers.run(main)
 
 
+async def _send_after_response(
+    sock: curio.io.Socket, late_bytes: bytes
+) -> None:
+    """Answer one request; then send bytes, or close if there are none."""
+    await sock.recv(message.RECEIVE_BYTES)
+    await sock.sendall(_raw('1', b'one'))
+    await curio.sleep(0.05)
+    if late_bytes:
+        await sock.sendall(late_bytes)
+        await curio.sleep(1.0)
+    await sock.close()
+
+
+@pytest.mark.parametrize(
+    'late_bytes',
+    [
+        b'',
+        b'HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n',
+    ],
+)
+def test_idle_connection_with_anything_to_read_is_not_used(
+    late_bytes: bytes
+) -> None:
+    """Guards against an answer that was not sent for the request.
+
+    A server that stops may answer 503 on its idle connections, or close them.
+    A request that is sent there might run, and would be taken for refused.
+    """
+
+    async def main() -> None:
+        listener = curio.socket.socket()
+        listener.bind(('127.0.0.1', 0))
+        listener.listen(5)
+        address = listener.getsockname()
+
+        async def serve() -> None:
+            sock, _ = await listener.accept()
+            await _send_after_response(sock, late_bytes)
+
+        task = await curio.spawn(serve, daemon=True)
+        connections = pool.Pool()
+        first = await connections.exchange(address, _request('1'), timeout=2.0)
+        assert first.ok_value.body == b'one'
+        await curio.sleep(0.15)
+        answer = await connections.exchange(
+            address, _request('2'), timeout=0.3
+        )
+        # The new connection waits in the backlog of the listener.
+        assert answer.err_value.fault is client.Fault.TIMEOUT
+        assert answer.err_value.first_use
+        await task.cancel()
+        await listener.close()
+
+    helpers.run(main)
+
+
 def test_refused_connection_sent_no_byte() -> None:
     """Only a failure before the first byte allows DID_NOT_RUN."""
 
