metastore: a 404 is no outcome of a transaction without a lease

What callers could see: a submission answered 200 that is stored nowhere.

Cause: each 404 to a transaction was read as 'no such lease', an outcome, and JobHandler takes every outcome of its write as 'the key exists'. A submission names no lease, so the store does not answer 404 to it; another process at the address of a former peer does.

Class: as REFUSED, an answer that does not speak of the write decides on it.

Change: without a lease in the transaction, 404 is an unusable answer, after which the write may have taken effect.

Evidence: test_missing_lease_is_no_outcome_of_a_write_without_one got Ok before; tests/fleet/test_transport.py, tests/ingress/test_jobs.py, tests/platform and tests/fleet/test_journal.py pass.

--- a/src/nutmegworks/platform/metastore.py
+++ b/src/nutmegworks/platform/metastore.py
@@ -191,7 +191,11 @@
         )
         if answer.is_err():
             return answer
-        return _decode_commit(answer.ok_value)
+        uses_lease = any(
+            write.lease_id != interfaces.NO_LEASE
+            for write in transaction.writes
+        )
+        return _decode_commit(answer.ok_value, uses_lease)
 
     async def grant_lease(
         self,
@@ -254,8 +258,14 @@
 
 def _decode_commit(
     response: message.Response,
+    uses_lease: bool,
 ) -> result.Result[interfaces.Commit, interfaces.StoreError]:
-    if response.status == 404:
+    """Return the outcome of a transaction.
+
+    :param uses_lease: a write of the transaction names a lease; the store
+        answers 404 only if it does not know that.
+    """
+    if response.status == 404 and uses_lease:
         return result.Ok(interfaces.Commit(interfaces.CommitOutcome.NO_LEASE))
     if response.status == 412:
         parsed = msgspec.json.decode(response.body, type=_Conflict)
--- a/tests/fleet/test_transport.py
+++ b/tests/fleet/test_transport.py
@@ -5,11 +5,13 @@
 
 import curio
 
+from nutmegworks.fleet import interfaces
 from nutmegworks.fleet import relay
 from nutmegworks.fleet import transport
 from nutmegworks.model import ids
 from nutmegworks.net import message
 from nutmegworks.net import server
+from nutmegworks.platform import metastore
 from nutmegworks.policy import call_effect
 from nutmegworks.policy import store_routes
 from tests.fleet import builders
@@ -124,3 +126,26 @@
         assert not answer.err_value.isolated
 
     _run(scenario, with_peer=False)
+
+
+def test_missing_lease_is_no_outcome_of_a_write_without_one() -> None:
+    """Guards against an accepted job that is not stored.
+
+    Another process at the address of a peer answers each call with 404.
+    """
+
+    async def main() -> None:
+
+        async def unknown(_: message.Request) -> message.Response:
+            return message.Response(404)
+
+        async with helpers.serving(unknown) as address:
+            store = metastore.MetadataStore(builders.store_transport(address))
+            committed = await store.commit(
+                interfaces.Transaction(
+                    {'a': interfaces.ABSENT}, (interfaces.Write('a', b'1'), )
+                )
+            )
+        assert committed.err_value.effect is call_effect.Effect.UNKNOWN
+
+    helpers.run(main)
