membership: a write of the leader key may be sent over a peer in doubt

What callers could see: no leader for up to another 0.5 s, so later starts.

Cause: since a broken connection leaves a write in doubt, a write that is sent once does not go on to a peer then. The store may refuse this host alone.

Change: the election tells the store client that it recognizes its own earlier write (it reads the key after a conflict), so the next route is tried at once.

Evidence: test_election_continues_over_a_peer_after_a_broken_connection failed before; it and tests/fleet/test_membership.py pass.

--- a/src/nutmegworks/fleet/membership.py
+++ b/src/nutmegworks/fleet/membership.py
@@ -252,7 +252,10 @@
             records.LEADER_KEY, records.encode(record), self._lease_id
         )
         done = await self._store.commit(
-            interfaces.Transaction({records.LEADER_KEY: expected}, (write, ))
+            interfaces.Transaction({records.LEADER_KEY: expected}, (write, )),
+            # A second copy meets the first one's revision, and the key then
+            # names this daemon.
+            repeatable=True,
         )
         if done.is_err():
             # The write may have taken effect: read the key.
--- a/tests/fleet/test_transport.py
+++ b/tests/fleet/test_transport.py
@@ -16,6 +16,7 @@
 from nutmegworks.policy import store_routes
 from tests.fleet import builders
 from tests import helpers
+from tests.soak import platform
 
 
 class _Endpoints:
@@ -149,3 +150,50 @@
         assert committed.err_value.effect is call_effect.Effect.UNKNOWN
 
     helpers.run(main)
+
+
+def test_election_continues_over_a_peer_after_a_broken_connection() -> None:
+    """Guards against a fleet that has no leader for another interval.
+
+    The store breaks this host's connection, then refuses this host alone.
+    """
+
+    async def main() -> None:
+        stand_in = platform.StoreStandIn()
+        refuses = False
+
+        async def store(request: message.Request) -> message.Response:
+            if refuses and b'leader' in request.body:
+                raise server.AbortConnection()
+            if refuses:
+                return message.Response(503)
+            return await stand_in.handle(request)
+
+        async def peer(request: message.Request) -> message.Response:
+            request = message.Request(
+                request.headers[relay.METHOD_HEADER],
+                request.headers[relay.TARGET_HEADER],
+                {},
+                request.body,
+            )
+            return await stand_in.handle(request)
+
+        async with (
+                helpers.serving(store) as address,
+                helpers.serving(peer) as peer_address,
+        ):
+            candidate = builders.member(
+                metastore.MetadataStore(
+                    builders.store_transport(
+                        address,
+                        store_routes.Peer(peer_address, ids.DomainId('south')),
+                    )
+                )
+            )
+            await candidate._renew()
+            await candidate.read_leader()
+            refuses = True
+            await candidate.campaign()
+            assert candidate.leads
+
+    helpers.run(main)
