membership: a daemon that leaves does not register again

What callers could see: calls relayed to a host that has stopped, for up to 2 s after its exit.

Cause: leave() ends the lease. The next renewal finds it gone, and the daemon, which serves its clients for 3.2 s more, gets a new lease and registers.

--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -128,3 +128,17 @@
         assert small.leads
 
     helpers.run(main)
+
+
+def test_member_that_has_left_does_not_register_again() -> None:
+    """Guards against peers that relay through a host that has stopped."""
+
+    async def main() -> None:
+        store = memory.MemoryStore()
+        member = builders.member(store)
+        await member._renew()
+        await member.leave()
+        await member._renew()
+        assert not store.item_by_key
+
+    helpers.run(main)
