membership: a registration that is carried out late is repeated

What callers could see: a host that no peer relays through, and that smaller hosts do not defer to, for as long as its process lives.

Cause: a registration without an answer was followed by one with a new lease. Carried out late, the first one replaced the second, and its lease ended soon after; the renewals of the other lease succeeded.

Class: several tries become one verdict; a later success says nothing of an earlier try that is still in doubt.

Change: after a renewal the daemon registers again if the mirrored members do not contain it. A registration with a lease that has ended drops the lease.

Evidence: test_member_whose_late_registration_expired_registers_again failed before; tests/fleet/test_membership.py passes.

--- a/src/nutmegworks/fleet/membership.py
+++ b/src/nutmegworks/fleet/membership.py
@@ -47,22 +47,29 @@
 
 
 class MemberSink(prefix_watcher.Sink):
-    """Tracks the daemons that are registered in the store."""
+    """Tracks the daemons that are registered in the store.
+
+    :ivar own_record_missing: the store was read, and this daemon is not
+        registered.
+    """
 
     def __init__(self, own_id: ids.MemberId) -> None:
         self._own_id = own_id
         self.members_by_id: dict[ids.MemberId, records.Member] = {}
+        self.own_record_missing = False
 
     async def replace(self, items: typing.Sequence[interfaces.Item]) -> None:
         self.members_by_id.clear()
         for item in items:
             self._put(item)
+        self.own_record_missing = self._own_id not in self.members_by_id
 
     async def apply(self, changes: interfaces.Changes) -> None:
         for key, _ in changes.removed:
             self.members_by_id.pop(_member_id(key), None)
         for item in changes.items:
             self._put(item)
+        self.own_record_missing = self._own_id not in self.members_by_id
 
     def _put(self, item: interfaces.Item) -> None:
         try:
@@ -204,6 +211,10 @@
             return
         if renewed.ok_value:
             self._renewed_at = sent
+            if self._members.own_record_missing:
+                # A registration with an earlier lease was carried out late
+                # and has expired with that lease.
+                await self._register()
             return
         _LOG.info('member lease expired', lease=self._lease_id)
         self._lease_id = None
@@ -224,6 +235,8 @@
                 'registering the member failed', detail=done.err_value.detail
             )
             self._lease_id = None
+        elif done.ok_value.outcome is interfaces.CommitOutcome.NO_LEASE:
+            self._lease_id = None
 
     def _defers_to_larger_host(self) -> bool:
         """Return whether to leave the leadership to a larger host for now."""
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -130,6 +130,36 @@
     helpers.run(main)
 
 
+def test_member_whose_late_registration_expired_registers_again() -> None:
+    """Guards against a host that no peer can relay through for good.
+
+    A registration without an answer is carried out after that with the next
+    lease, and its key is removed with the first lease.
+    """
+
+    async def main() -> None:
+        store = memory.MemoryStore()
+        sink = membership.MemberSink(ids.MemberId('host-1'))
+        member = builders.member(store, peers=sink)
+        store.hold_commits = True
+        await member._renew()
+        store.hold_commits = False
+        await member._renew()
+        store.apply_held_commits()
+        start = (await store.list(records.MEMBERS_PREFIX)).ok_value
+        await sink.replace(start.items)
+        store.expire(interfaces.LeaseId(1))
+        changes = await store.watch(
+            records.MEMBERS_PREFIX, start.revision, 0.0
+        )
+        await sink.apply(changes.ok_value)
+        await member._renew()
+        key = f'{records.MEMBERS_PREFIX}host-1'
+        assert key in store.item_by_key
+
+    helpers.run(main)
+
+
 def test_member_that_has_left_does_not_register_again() -> None:
     """Guards against peers that relay through a host that has stopped."""
 
