platform: an odd worker entry is passed over, whatever is odd about it

One entry of another writer that was nested too deeply, had a number too large or a port out of range.

What callers saw: nothing is scheduled while the entry is there (LOST). Each term of each leader ended and the next one read the same entry.

Cause: WorkerSink passes over an entry whose decoding raises ValueError. msgspec raises RecursionError for deep nesting. Numbers and addresses were not checked: a port out of range raised OverflowError in connect, a host name blocked the process until it was resolved, an integer of 400 digits can not be made a float.

Class: readers catch some of the ways in which a document can be wrong.

Change: model/documents.decode is the place where documents of others are decoded; each failure is a DocumentError, a ValueError, with a short text. A worker's entry has checked ranges: capacity, incarnation, an IPv4 address with a port, an id that a header can carry.

--- a/src/nutmegworks/platform/wire.py
+++ b/src/nutmegworks/platform/wire.py
@@ -1,13 +1,14 @@
 """Decodes the platform's JSON documents into the types of ``tasks``."""
 from __future__ import annotations
 
+import re
 import typing
 
 import msgspec
 
 from nutmegworks.fleet import interfaces
+from nutmegworks.model import documents
 from nutmegworks.model import ids
-from nutmegworks.platform import settings
 from nutmegworks.tasks import configuration
 from nutmegworks.tasks import spec
 from nutmegworks.tasks import workers
@@ -21,6 +22,19 @@
 # Labels of the form r1-3 are racks; the other labels name the worker's kind.
 _RACK_LABEL_PREFIX: typing.Final = 'r'
 
+# Limits of one worker's capacity and of one task's request. No host is as
+# large: by a larger number, all work would seem to fit on that worker.
+MAX_CPU: typing.Final = 10_000 * 1000  # thousandths of a core
+MAX_MEMORY: typing.Final = 1024 * 1024 * 1024  # MiB
+MAX_ACCELERATORS: typing.Final = 10_000
+
+_Cpu = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_CPU)]
+_Memory = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_MEMORY)]
+_Accelerators = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_ACCELERATORS)]
+
+# Requests name a worker in a header, which carries visible ASCII only.
+_WORKER_ID: typing.Final = re.compile('[!-~]+')
+
 
 class _Step(msgspec.Struct, rename='camel'):
     count: int
@@ -177,9 +191,9 @@
 
 
 class _Capacity(msgspec.Struct, rename='camel'):
-    cpu: int
-    mem_mb: int
-    gpu: int = 0
+    cpu: _Cpu
+    mem_mb: _Memory
+    gpu: _Accelerators = 0
 
 
 class _Worker(msgspec.Struct, rename='camel'):
@@ -191,7 +205,7 @@
     capacity: _Capacity
     labels: list[str]
     # The incarnation of the worker.
-    born: int = 0
+    born: documents.UnixMilliseconds = 0
     remaining_ms: float | None = None
 
 
@@ -204,17 +218,23 @@
 def decode_worker(key: str, data: bytes) -> workers.WorkerEntry:
     """Return a worker's registration.
 
-    :raise ValueError: unreadable, or not a registration.
+    :raise ValueError: unreadable, or not a registration of a worker that can
+        be used.
     """
-    entry = msgspec.json.decode(data, type=_Worker)
+    worker_id = key.removeprefix(WORKERS_PREFIX)
+    if not _WORKER_ID.fullmatch(worker_id):
+        raise documents.DocumentError('not the key of a worker')
+    entry = documents.decode(data, _Worker)
+    address = documents.parse_address(entry.address)
+    documents.check_ip(address[0])
     racks = [
         label for label in entry.labels
         if label.startswith(_RACK_LABEL_PREFIX) and '-' in label
     ]
     remaining = entry.remaining_ms
     return workers.WorkerEntry(
-        worker_id=ids.WorkerId(key.removeprefix(WORKERS_PREFIX)),
-        address=settings.parse_address(entry.address),
+        worker_id=ids.WorkerId(worker_id),
+        address=address,
         service_id=ids.ServiceId(entry.service),
         domain_id=ids.DomainId(entry.zone),
         state=_STATE_BY_NAME[entry.state],
@@ -224,7 +244,7 @@
         ),
         rack=racks[0] if racks else '',
         labels=frozenset(entry.labels),
-        remaining=None if remaining is None else remaining / 1000,
+        remaining=None if remaining is None else max(0.0, remaining / 1000),
     )
 
 
--- a/tests/fleet/builders.py
+++ b/tests/fleet/builders.py
@@ -241,3 +241,17 @@
             fleet.end(worker_id, task, run, kind)
             count += 1
     return count
+
+
+async def finish(
+    fleet: memory.MemoryWorkers,
+    term: leader.Term,
+    job_id: ids.JobId,
+) -> None:
+    """End all runs as done until a job has succeeded."""
+
+    def succeeded() -> bool:
+        end_all_runs(fleet, workers.EndKind.DONE)
+        return term.state.public_state(job_id) is records.JobState.SUCCEEDED
+
+    await wait_until(succeeded)
