fleet: an entry that becomes odd names no worker, also when it is watched

What callers saw: work goes to a worker whose entry names none any more.

Cause: WorkerSink.replace takes a worker out of use if its entry can not be decoded; WorkerSink.apply kept the entry from before, until the next listing 15 s later.

Change: both take the worker out of use. Its runs go on and its lease is renewed until they have ended, as after the removal of an entry; a sound entry brings the worker back.

--- a/src/nutmegworks/fleet/sinks.py
+++ b/src/nutmegworks/fleet/sinks.py
@@ -106,16 +106,23 @@
 
     async def apply(self, changes: interfaces.Changes) -> None:
         for key, _ in changes.removed:
-            worker_id = key.removeprefix(self._decoder.workers_prefix)
-            worker = self._state.workers_by_id.get(ids.WorkerId(worker_id))
-            if worker is not None:
-                worker.registered = False
-                _LOG.info('worker entry removed', worker=worker_id)
+            self._unregister(key, 'worker entry removed')
         for item in changes.items:
-            await self._put(item)
+            if await self._put(item) is None:
+                # As if it were missing from a listing.
+                self._unregister(item.key, 'worker entry became unusable')
         await self._state.notify()
 
+    def _unregister(self, key: str, reason: str) -> None:
+        """Give a worker no more work; its runs go on."""
+        worker_id = key.removeprefix(self._decoder.workers_prefix)
+        worker = self._state.workers_by_id.get(ids.WorkerId(worker_id))
+        if worker is not None:
+            worker.registered = False
+            _LOG.info(reason, worker=worker_id, runs=len(worker.runs_by_key))
+
     async def _put(self, item: interfaces.Item) -> ids.WorkerId | None:
+        """Return the entry's worker, None if the entry names none to use."""
         try:
             entry = self._decoder.worker(item.key, item.value)
         except ValueError as error:
--- a/tests/fleet/test_odd_entries.py
+++ b/tests/fleet/test_odd_entries.py
@@ -1,6 +1,7 @@
 """One odd entry among sound ones of workers, in a term of leadership."""
 from __future__ import annotations
 
+import curio
 import msgspec
 import pytest
 
@@ -11,6 +12,7 @@
 from tests import odd_documents
 
 JOB = ids.JobId('a1')
+W1 = ids.WorkerId('w1')
 ODD_ID = ids.WorkerId('odd')
 
 ODD_ENTRIES = {
@@ -63,3 +65,35 @@
             assert ODD_ID not in term.state.workers_by_id
 
     helpers.run(main)
+
+
+@pytest.mark.parametrize('read', ['replace', 'apply'])
+def test_a_worker_whose_entry_becomes_odd_gets_no_work(read: str) -> None:
+    """A listing and a watch must agree; runs on the worker go on."""
+
+    async def main() -> None:
+        store, fleet = memory.MemoryStore(), memory.MemoryWorkers()
+        builders.put_worker(store, 'w1')
+        async with builders.running_term(store, fleet) as term:
+            builders.put_job(store, JOB, builders.accepted())
+            await builders.wait_until(lambda: fleet.starts)
+            if read == 'replace':
+                store.silent_watches = True
+            store.put('servers/w1', ODD_ENTRIES['nested'])
+            if read == 'replace':
+                # A watch that has lost its history is followed by a listing.
+                store.silent_watches = False
+                store.drop_history()
+            worker = term.state.workers_by_id[W1]
+            await builders.wait_until(lambda: not worker.registered)
+            builders.put_job(store, ids.JobId('a2'), builders.accepted())
+            await curio.sleep(0.5)
+            assert len(fleet.starts) == 1
+            assert len(worker.runs_by_key) == 1
+            builders.put_worker(store, 'w1')
+            await builders.wait_until(lambda: len(fleet.starts) == 2)
+            await builders.finish(fleet, term, JOB)
+            await builders.finish(fleet, term, ids.JobId('a2'))
+            assert len(fleet.starts) == 2
+
+    helpers.run(main)
