net: an address that no socket accepts fails the exchange

What callers saw: an exchange with such an address raised; the task that made it ended, or started again without end.

Cause: socket.connect raises OverflowError for a port out of range and TypeError for a host that it can not encode. client.connect turned only OSError and the time-out into a result.

Change: these are a Fault.CONNECT, with which nothing has reached the peer.

Evidence: test_address_that_no_socket_accepts_is_an_error failed 5 of 5 before; tests/net/test_client.py passes now.

--- a/src/nutmegworks/net/client.py
+++ b/src/nutmegworks/net/client.py
@@ -28,6 +28,10 @@
 KEEPALIVE_PROBES: typing.Final = 2
 UNACKNOWLEDGED_LIMIT_MS: typing.Final = 2500
 
+# What a socket raises for a port out of range, and for a host that can not be
+# encoded.
+_ADDRESS_ERRORS: typing.Final = (OverflowError, TypeError, ValueError)
+
 _STATUSES_WITHOUT_BODY: typing.Final = frozenset({204, 304})
 
 
@@ -296,13 +300,15 @@
     """Open a connection with keep-alive probes.
 
     :param timeout: seconds.
+    :return: an error of the fault ``CONNECT`` also for an address that no
+        socket accepts.
     """
     sock = curio.socket.socket()
     _set_socket_options(sock)
     try:
         async with curio.timeout_after(timeout):
             await sock.connect(address)
-    except (OSError, curio.TaskTimeout) as error:
+    except (OSError, curio.TaskTimeout, *_ADDRESS_ERRORS) as error:
         await sock.close()
         return result.Err(ExchangeError(Fault.CONNECT, repr(error), False))
     except BaseException:
--- a/tests/net/test_client.py
+++ b/tests/net/test_client.py
@@ -200,3 +200,28 @@
             assert not connections._idle_by_address.get(address)
 
     helpers.run(main)
+
+
+@pytest.mark.parametrize(
+    'address',
+    [
+        ('127.0.0.1', 65536),
+        ('127.0.0.1', -1),
+        ('127.0.0.1', 10**30),
+        ('127.0.0.1\x00', 80),
+        ('\u00e9' * 70, 80),
+    ],
+)
+def test_address_that_no_socket_accepts_is_an_error(
+    address: client.Address
+) -> None:
+    """Guards against an exception that ends the caller's task."""
+
+    async def main() -> None:
+        answer = await pool.Pool().exchange(
+            address, _request('1'), timeout=1.0
+        )
+        assert answer.err_value.fault is client.Fault.CONNECT
+        assert not answer.err_value.may_have_reached_peer
+
+    helpers.run(main)
