platform: refuse a submission that no leader could schedule

What callers saw: a submission with a deeply nested field broke the connection without an answer, so that the client sent it again. One with a task count of 1e11 was accepted; each leader then spent its whole time in a planning round.

Cause: decode_submission let RecursionError through and checked no range. Negative amounts of cpu added capacity to a worker, negative times passed.

Change: decode_submission uses model/documents.decode and bounds the amounts, the times, the spec (4,000 bytes by PROTOCOL.md) and the number of tasks: 10,000 of an occurrence, 100,000 of a job. JobHandler answers 400 with the reason.

--- a/src/nutmegworks/platform/wire.py
+++ b/src/nutmegworks/platform/wire.py
@@ -32,35 +32,49 @@
 _Memory = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_MEMORY)]
 _Accelerators = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_ACCELERATORS)]
 
+# A leader visits each unfinished task in each planning round; further tasks
+# would delay the rounds of all jobs.
+MAX_TASKS_OF_AN_OCCURRENCE: typing.Final = spec.MAX_COPIES
+MAX_TASKS_OF_A_JOB: typing.Final = 10 * MAX_TASKS_OF_AN_OCCURRENCE
+MAX_SPEC_BYTES: typing.Final = 4000
+# About 30 years; arithmetic with it stays finite.
+MAX_DURATION_MS: typing.Final = 1e12
+
+_Duration = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_MS)]
+_UnixTime = typing.Annotated[
+    float,
+    msgspec.Meta(ge=0, le=documents.MAX_UNIX_MS),
+]
+
 # Requests name a worker in a header, which carries visible ASCII only.
 _WORKER_ID: typing.Final = re.compile('[!-~]+')
 
 
 class _Step(msgspec.Struct, rename='camel'):
     count: int
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimated_ms: float = 0
+    cpu: _Cpu = 0
+    mem_mb: _Memory = 0
+    gpu: _Accelerators = 0
+    estimated_ms: _Duration = 0
     after: list[int] = []
     checkpointing: bool = False
     gang: bool = False
     same_rack: bool = False
     requirements: str = ''
     affinity: str = ''
-    anti_affinity: int = 0
+    anti_affinity: documents.Count = 0
     allow_duplicates: bool = False
     long_running: bool = False
     fills: bool = False
-    may_miss: int = 0
+    may_miss: documents.Count = 0
 
 
 class _Job(msgspec.Struct, rename='camel'):
     steps: list[_Step]
     spec: str = ''
-    repeat_count: int = 0
-    start_at_ms: float = 0
-    interval_ms: float = 0
+    repeat_count: documents.Count = 0
+    start_at_ms: _UnixTime = 0
+    interval_ms: _Duration = 0
 
 
 def decode_submission(data: bytes) -> spec.Submission:
@@ -68,9 +82,14 @@
 
     :raise ValueError: unreadable, or not a job that can run.
     """
-    job = msgspec.json.decode(data, type=_Job)
+    job = documents.decode(data, _Job)
     if not job.steps:
-        raise ValueError('a job needs a step')
+        raise documents.DocumentError('a job needs a step')
+    if len(job.spec.encode()) > MAX_SPEC_BYTES:
+        raise documents.DocumentError(
+            f'the spec is longer than {MAX_SPEC_BYTES} bytes'
+        )
+    _check_size(job)
     return spec.Submission(
         payload=job.spec,
         steps=tuple(
@@ -83,9 +102,23 @@
     )
 
 
+def _check_size(job: _Job) -> None:
+    tasks = sum(step.count for step in job.steps)
+    if tasks > MAX_TASKS_OF_AN_OCCURRENCE:
+        raise documents.DocumentError(
+            f'more than {MAX_TASKS_OF_AN_OCCURRENCE} tasks'
+        )
+    if tasks * job.repeat_count > MAX_TASKS_OF_A_JOB:
+        raise documents.DocumentError(
+            f'more than {MAX_TASKS_OF_A_JOB} tasks in all occurrences'
+        )
+
+
 def _decode_step(number: spec.StepNumber, step: _Step) -> spec.Step:
     if step.count < 1 or any(not 0 <= other < number for other in step.after):
-        raise ValueError(f'step {number} has no task or an impossible order')
+        raise documents.DocumentError(
+            f'step {number} has no task or an impossible order'
+        )
     return spec.Step(
         number=number,
         count=step.count,
--- /dev/null
+++ b/tests/ingress/test_odd_calls.py
@@ -0,0 +1,25 @@
+"""Calls with bodies and names as no correct client sends them."""
+from __future__ import annotations
+
+import pytest
+
+from tests.ingress import builders
+from tests.platform import test_odd_submissions
+
+
+@pytest.mark.parametrize('name', test_odd_submissions.ODD_BODIES)
+def test_an_odd_submission_is_answered_400(name: str) -> None:
+    """Guards against a broken connection, after which the client repeats.
+
+    Nothing may be stored of it.
+    """
+
+    async def case(ingress: builders.Ingress) -> None:
+        response = await ingress.call(
+            'POST', body=test_odd_submissions.ODD_BODIES[name]
+        )
+        assert response.status == 400
+        assert len(response.body) < 500
+        assert not ingress.store.item_by_key
+
+    builders.run(case)
