fleet: an odd record of a job does not end the term

What callers saw: nothing is scheduled while the record is there: each term ended when it loaded the record.

Cause: Term._load_progress decoded without any guard, JobSink did not catch RecursionError, and FleetState._adopt let the error of an assignment's odd task name through. TaskKey.parse accepted signs, digits of other scripts and any length.

Change: a job record that can not be decoded is logged with its key and passed over. A job whose progress can not be decoded is left alone: what has run is not known, so that a start could be a second one; its record stays for a version that can read it. An assignment of no task of the job is logged and passed over. A task's name has numbers of one to nine ASCII digits.

--- a/src/nutmegworks/fleet/leader.py
+++ b/src/nutmegworks/fleet/leader.py
@@ -7,7 +7,6 @@
 
 import curio
 import logbook
-import msgspec
 
 from nutmegworks.fleet import configuration_holder
 from nutmegworks.fleet import interfaces
@@ -22,6 +21,7 @@
 from nutmegworks.fleet import supervision
 from nutmegworks.fleet import worker as fleet_worker
 from nutmegworks.fleet import worker_session
+from nutmegworks.model import documents
 from nutmegworks.model import ids
 from nutmegworks.policy import task_planning
 from nutmegworks.tasks import records
@@ -185,10 +185,18 @@
             await curio.sleep(RETRY_SECONDS)
         progress_by_id = {}
         for item in listed.ok_value.items:
-            job_id = item.key.removeprefix(records.PROGRESS_PREFIX)
-            progress_by_id[ids.JobId(job_id)] = msgspec.json.decode(
-                item.value, type=records.Progress
-            )
+            job_id = ids.JobId(item.key.removeprefix(records.PROGRESS_PREFIX))
+            try:
+                progress_by_id[job_id] = documents.decode(
+                    item.value, records.Progress
+                )
+            except ValueError as error:
+                self.state.unreadable_ids.add(job_id)
+                _LOG.error(
+                    'progress record could not be decoded',
+                    key=item.key,
+                    error=str(error),
+                )
         return progress_by_id
 
     async def _run_journal(self) -> None:
--- a/src/nutmegworks/fleet/sinks.py
+++ b/src/nutmegworks/fleet/sinks.py
@@ -4,13 +4,13 @@
 import typing
 
 import logbook
-import msgspec
 
 from nutmegworks.fleet import interfaces
 from nutmegworks.fleet import membership
 from nutmegworks.fleet import prefix_watcher
 from nutmegworks.fleet import state as fleet_state
 from nutmegworks.fleet import worker as fleet_worker
+from nutmegworks.model import documents
 from nutmegworks.model import ids
 from nutmegworks.tasks import records
 
@@ -46,13 +46,12 @@
             )
             return
         job_id = ids.JobId(name)
-        jobs_by_id = self._state.jobs_by_id
-        if job_id in jobs_by_id or job_id in self._state.removed_ids:
+        if (job_id in self._state.jobs_by_id
+                or job_id in self._state.removed_ids
+                or job_id in self._state.unreadable_ids):
             return
         try:
-            accepted = msgspec.json.decode(
-                item.value, type=records.AcceptedJob
-            )
+            accepted = documents.decode(item.value, records.AcceptedJob)
             submission = self._decoder.submission(accepted.body)
         except ValueError as error:
             _LOG.error(
--- a/src/nutmegworks/fleet/state.py
+++ b/src/nutmegworks/fleet/state.py
@@ -40,6 +40,9 @@
         # Jobs whose records are being removed. A listing that was made before
         # the removal must not add them again.
         self.removed_ids: set[ids.JobId] = set()
+        # Jobs of whose tasks it is not known what has run. They are not
+        # scheduled, and their records stay as they are.
+        self.unreadable_ids: set[ids.JobId] = set()
         self.worker_health = worker_health.WorkerHealth()
         self.worker_speeds = worker_speeds.WorkerSpeeds()
         self.task_durations = task_durations.DurationModel()
@@ -309,9 +312,12 @@
         name: str,
         assignment: records.Assignment,
     ) -> None:
-        task = table.parse_task(job.job_id, name)
-        step = job.step_of(task)
-        if step is None:
+        try:
+            task = table.parse_task(job.job_id, name)
+        except ValueError:
+            task = None
+        step = None if task is None else job.step_of(task)
+        if task is None or step is None:
             _LOG.error(
                 'progress record names an unknown task',
                 job=job.job_id,
--- a/src/nutmegworks/tasks/records.py
+++ b/src/nutmegworks/tasks/records.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from nutmegworks.model import documents
 from nutmegworks.model import ids
 
 JOBS_PREFIX: typing.Final = 'nutmeg/jobs/'
@@ -163,8 +164,11 @@
 
 
 def decode_state(value: bytes) -> JobState:
-    """Return the job state in a stored ``Progress``."""
-    return msgspec.json.decode(value, type=_StateOnly).state
+    """Return the job state in a stored ``Progress``.
+
+    :raise ValueError: it can not be read.
+    """
+    return documents.decode(value, _StateOnly).state
 
 
 __all__ = (
--- a/src/nutmegworks/tasks/spec.py
+++ b/src/nutmegworks/tasks/spec.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import dataclasses
+import re
 import typing
 
 from nutmegworks.model import ids
@@ -10,6 +11,13 @@
 # Index of one repetition of a job that repeats, from 0.
 Occurrence = typing.NewType('Occurrence', int)
 
+# A job, then numbers of an occurrence, a step and a task. The numbers have few
+# enough digits for any arithmetic.
+_TASK_NAME: typing.Final = re.compile(
+    r'(.+)\.([0-9]{1,9})\.([0-9]{1,9})\.([0-9]{1,9})', re.DOTALL
+)
+_MAX_NAME_IN_ERROR: typing.Final = 80
+
 # Limit for tasks that need no resources; no step has as many tasks.
 MAX_COPIES: typing.Final = 10_000
 
@@ -163,7 +171,10 @@
         >>> TaskKey.parse('5c0e.0.1.17').index
         17
         """
-        job_id, occurrence, step, index = name.rsplit('.', 3)
+        match = _TASK_NAME.fullmatch(name)
+        if match is None:
+            raise ValueError(f'{name[:_MAX_NAME_IN_ERROR]!r} is not a task')
+        job_id, occurrence, step, index = match.groups()
         return cls(
             ids.JobId(job_id),
             Occurrence(int(occurrence)),
