ingress: a job state that can not be decoded is answered 503

What callers saw: a connection that breaks without an answer, at each GET.

Cause: JobHandler._stored_state decoded the progress record without a guard.

Change: it is a store error as any other: the state that this daemon showed last, or 503.

Evidence: test_an_odd_stored_state_is_answered_503 failed 3 of 3 before and passes now, with tests/ingress.

--- a/src/nutmegworks/ingress/jobs.py
+++ b/src/nutmegworks/ingress/jobs.py
@@ -163,7 +163,7 @@
         if progress.is_err():
             return progress
         if progress.ok_value is not None:
-            return result.Ok(records.decode_state(progress.ok_value.value))
+            return _decode_state(progress.ok_value)
         accepted = await self._store.get(records.job_key(job_id))
         if accepted.is_err():
             return accepted
@@ -207,6 +207,18 @@
         return message.json_response(200, {'pending': pending})
 
 
+def _decode_state(item: interfaces.Item) -> _State:
+    try:
+        return result.Ok(records.decode_state(item.value))
+    except ValueError as error:
+        _LOG.error(
+            'job state could not be decoded', key=item.key, error=str(error)
+        )
+        return result.Err(
+            interfaces.StoreError(call_effect.Effect.NONE, str(error))
+        )
+
+
 def _not_written(
     key: str,
     errors: typing.Sequence[interfaces.StoreError],
--- a/tests/ingress/test_odd_calls.py
+++ b/tests/ingress/test_odd_calls.py
@@ -3,7 +3,9 @@
 
 import pytest
 
+from nutmegworks.tasks import records
 from tests.ingress import builders
+from tests import odd_documents
 from tests.platform import test_odd_submissions
 
 
@@ -23,3 +25,18 @@
         assert not ingress.store.item_by_key
 
     builders.run(case)
+
+
+@pytest.mark.parametrize(
+    'data', [b'\xff', b'{"state":"melted"}',
+             odd_documents.nested({})]
+)
+def test_an_odd_stored_state_is_answered_503(data: bytes) -> None:
+    """Guards against a broken connection, and a state without evidence."""
+
+    async def case(ingress: builders.Ingress) -> None:
+        ingress.store.put(records.progress_key(builders.JOB), data)
+        response = await ingress.call('GET')
+        assert response.status == 503
+
+    builders.run(case)
