fleet: an odd member, leader or configuration does not end the process

What callers saw: a daemon that ends by itself, and again after each start.

Cause: the watchers of the configuration and of the members run in the process's main group. A document with a deeply nested field that no reader knows raised RecursionError in their sinks; a port out of range raised later, in the first call to that peer. A watched member record that can not be decoded left the record from before, a listed one did not.

Change: all three are decoded by model/documents.decode, the ports and sizes of hosts are checked, and an odd member is no peer however it was read.

--- a/src/nutmegworks/fleet/membership.py
+++ b/src/nutmegworks/fleet/membership.py
@@ -12,10 +12,10 @@
 
 import curio
 import logbook
-import msgspec
 
 from nutmegworks.fleet import interfaces
 from nutmegworks.fleet import prefix_watcher
+from nutmegworks.model import documents
 from nutmegworks.model import ids
 from nutmegworks.policy import store_routes
 from nutmegworks.tasks import records
@@ -66,13 +66,14 @@
 
     def _put(self, item: interfaces.Item) -> None:
         try:
-            member = msgspec.json.decode(item.value, type=records.Member)
-        except msgspec.MsgspecError as error:
+            member = documents.decode(item.value, records.Member)
+        except ValueError as error:
             _LOG.warning(
                 'member record could not be decoded',
                 key=item.key,
                 error=str(error)
             )
+            self.members_by_id.pop(_member_id(item.key), None)
             return
         self.members_by_id[_member_id(item.key)] = member
 
@@ -308,9 +309,13 @@
 def decode_leader(item: interfaces.Item) -> Leadership | None:
     """Return the leader that an item names, None if it is unreadable."""
     try:
-        record = msgspec.json.decode(item.value, type=records.Leader)
-    except msgspec.MsgspecError as error:
-        _LOG.warning('leader record could not be decoded', error=str(error))
+        record = documents.decode(item.value, records.Leader)
+    except ValueError as error:
+        _LOG.warning(
+            'leader record could not be decoded',
+            key=item.key,
+            error=str(error)
+        )
         return None
     return Leadership(item.revision, record)
 
--- a/src/nutmegworks/platform/wire.py
+++ b/src/nutmegworks/platform/wire.py
@@ -185,7 +185,7 @@
 
     :raise ValueError: unreadable, or not a configuration.
     """
-    document = msgspec.json.decode(data, type=_Configuration)
+    document = documents.decode(data, _Configuration)
     return configuration.Configuration(
         version=document.version,
         queues_by_id={
--- a/src/nutmegworks/tasks/records.py
+++ b/src/nutmegworks/tasks/records.py
@@ -20,6 +20,8 @@
 # Every write of the leader changes this key, which keeps its writes in order.
 SEQUENCE_KEY: typing.Final = 'nutmeg/sequence'
 
+_Amount = typing.Annotated[float, msgspec.Meta(ge=0)]
+
 
 class JobState(enum.Enum):
     """The state of an accepted job as shown to its client."""
@@ -120,10 +122,10 @@
     """
 
     host: str
-    port: int
+    port: documents.Port
     domain: str
-    cores: float = 0.0
-    link: float = 0.0
+    cores: _Amount = 0.0
+    link: _Amount = 0.0
 
 
 class Leader(msgspec.Struct, frozen=True):
@@ -135,7 +137,7 @@
     member: str
     incarnation: str
     host: str
-    port: int
+    port: documents.Port
 
 
 # Suffix of the key of a cancellation, after the key of its job.
