platform: one odd item spoils no listing, an odd answer raises nowhere

What callers saw: a daemon that ends, or a leader whose terms end.

Cause: MetadataStore decoded base64 outside of its guard, so that one value that is not base64 failed the whole listing or watch with an exception. Its guard did not catch RecursionError, and the answer 412 was decoded without one.

Change: a value that is not base64 is logged with its key and read as empty, which no reader accepts; a worker entry then names no worker in a listing and in a watch alike. Every answer is decoded by _parse, with checked numbers.

--- a/src/nutmegworks/platform/metastore.py
+++ b/src/nutmegworks/platform/metastore.py
@@ -5,11 +5,13 @@
 import typing
 import urllib.parse
 
+import logbook
 import msgspec
 import result
 
 from nutmegworks.fleet import interfaces
 from nutmegworks.fleet import transport
+from nutmegworks.model import documents
 from nutmegworks.model import ids
 from nutmegworks.net import message
 from nutmegworks.policy import call_effect
@@ -17,18 +19,35 @@
 # Added to the wait of a watch, for the answer to arrive.
 WATCH_MARGIN_SECONDS: typing.Final = 0.6
 
+_LOG: typing.Final = logbook.Logger('metastore')
+
+# Numbers that the store issues.
+_Number = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
 
 class _Item(msgspec.Struct):
     key: str
     value: str = ''
-    revision: int = 0
-    lease: int = 0
+    revision: _Number = 0
+    lease: _Number = 0
     deleted: bool = False
 
     def decode(self) -> interfaces.Item:
+        """Return the item, with an empty value if its value is not base64.
+
+        No reader accepts an empty value, and one that knows the item's earlier
+        value learns that it has changed.
+        """
+        try:
+            value = base64.b64decode(self.value)
+        except ValueError as error:
+            _LOG.warning(
+                'stored value is not base64', key=self.key, error=str(error)
+            )
+            value = b''
         return interfaces.Item(
             self.key,
-            base64.b64decode(self.value),
+            value,
             ids.StoreRevision(self.revision),
             interfaces.LeaseId(self.lease),
         )
@@ -36,18 +55,18 @@
 
 class _Range(msgspec.Struct, rename='camel'):
     # The store's revision at the time of the answer.
-    as_of: int
+    as_of: _Number
     items: list[_Item] = []
     truncated: bool = False
 
 
 class _Watch(msgspec.Struct, rename='camel'):
-    as_of: int
+    as_of: _Number
     events: list[_Item] = []
 
 
 class _Committed(msgspec.Struct):
-    revision: int
+    revision: _Number
 
 
 class _Conflict(msgspec.Struct):
@@ -55,7 +74,7 @@
 
 
 class _Lease(msgspec.Struct):
-    lease: int
+    lease: _Number
 
 
 def _error(detail: str, effect: call_effect.Effect) -> result.Err:
@@ -71,12 +90,13 @@
 def _parse(
     response: message.Response,
     document: type[_Document],
+    status: int = 200,
 ) -> result.Result[_Document, interfaces.StoreError]:
-    if response.status != 200:
+    if response.status != status:
         return _error(f'status {response.status}', _UNEXPECTED_ANSWER)
     try:
-        return result.Ok(msgspec.json.decode(response.body, type=document))
-    except (msgspec.MsgspecError, ValueError) as error:
+        return result.Ok(documents.decode(response.body, document))
+    except documents.DocumentError as error:
         return _error(f'unreadable answer: {error}', _UNEXPECTED_ANSWER)
 
 
@@ -258,13 +278,12 @@
     if response.status == 404:
         return result.Ok(interfaces.Commit(interfaces.CommitOutcome.NO_LEASE))
     if response.status == 412:
-        parsed = msgspec.json.decode(response.body, type=_Conflict)
-        return result.Ok(
-            interfaces.Commit(
+        return _parse(response, _Conflict, 412).map(
+            lambda conflict: interfaces.Commit(
                 interfaces.CommitOutcome.CONFLICT,
                 current_by_key={
                     item.key: item.decode()
-                    for item in parsed.items
+                    for item in conflict.items
                     if item.revision
                 },
             )
