platform: an odd report of a worker is an error of its call

What callers saw: a worker whose session failed again and again: its lease was neither renewed nor did its end come.

Cause: a report was decoded without ranges and without a guard for RecursionError. A clock of 400 digits raised only when the next request was made from it, outside of the call that has an error to return. A progress of 1e300 percent made the remaining time infinite and negative.

Change: clock, incarnation, runs and numbers of ends have ranges, progress is cut to 0 to 100, rejections are decoded in the same way.

--- a/src/nutmegworks/platform/executors.py
+++ b/src/nutmegworks/platform/executors.py
@@ -8,6 +8,7 @@
 import result
 
 from nutmegworks.fleet import interfaces
+from nutmegworks.model import documents
 from nutmegworks.model import ids
 from nutmegworks.net import client
 from nutmegworks.net import message
@@ -45,27 +46,34 @@
     reason: str = ''
 
 
+# Ends are numbered from 1.
+_EndNumber = typing.Annotated[
+    int,
+    msgspec.Meta(ge=1, le=documents.MAX_EXACT_INTEGER),
+]
+
+
 class _RunningRow(msgspec.Struct, array_like=True):
     task: str
-    run: int
+    run: documents.Count
     checkpoint: str
     percent: float
 
 
 class _EndedRow(msgspec.Struct, array_like=True):
-    number: int
+    number: _EndNumber
     task: str
-    run: int
+    run: documents.Count
     kind: workers.EndKind
     checkpoint: str
 
 
 class _Report(msgspec.Struct, rename='camel'):
-    clock_ms: int
+    clock_ms: documents.Count
     running: list[_RunningRow] = []
     ended: list[_EndedRow] = []
     # The incarnation of the worker.
-    born: int = 0
+    born: documents.UnixMilliseconds = 0
 
 
 class ExecutorClient(interfaces.WorkerClient):
@@ -179,21 +187,25 @@
                 )
             )
         try:
-            return result.Ok(_decode_report(response.body))
-        except (msgspec.MsgspecError, ValueError) as error:
+            return result.Ok(decode_report(response.body))
+        except ValueError as error:
             return result.Err(interfaces.CallError(str(error)))
 
 
 def _rejection_reason(response: message.Response) -> str:
     try:
-        return msgspec.json.decode(response.body, type=_Rejection).reason
-    except (msgspec.MsgspecError, ValueError) as error:
+        return documents.decode(response.body, _Rejection).reason
+    except ValueError as error:
         _LOG.warning('worker rejection could not be decoded', error=str(error))
         return ''
 
 
-def _decode_report(data: bytes) -> workers.Report:
-    report = msgspec.json.decode(data, type=_Report)
+def decode_report(data: bytes) -> workers.Report:
+    """Return a worker's report.
+
+    :raise ValueError: unreadable, or not a report.
+    """
+    report = documents.decode(data, _Report)
     return workers.Report(
         clock=report.clock_ms,
         incarnation=workers.WorkerIncarnation(report.born),
@@ -202,7 +214,7 @@
                 spec.TaskKey.parse(row.task),
                 workers.RunNumber(row.run),
                 row.checkpoint,
-                int(row.percent),
+                max(0, min(100, int(row.percent))),
             ) for row in report.running
         ),
         ended=tuple(
@@ -217,4 +229,4 @@
     )
 
 
-__all__ = ('ExecutorClient', 'REQUEST_TIMEOUT_SECONDS')
+__all__ = ('ExecutorClient', 'REQUEST_TIMEOUT_SECONDS', 'decode_report')
