fleet: both ends of the leader's queries in one module

No behaviour changes: what fleetnode did with the queries of peers moves to fleet/leader_client.serve, beside their client, so that a test needs no daemon.

--- a/src/nutmegworks/daemon/fleetnode.py
+++ b/src/nutmegworks/daemon/fleetnode.py
@@ -7,7 +7,6 @@
 import signal
 import time
 import typing
-import urllib.parse
 
 import curio
 import logbook
@@ -23,7 +22,6 @@
 from nutmegworks.ingress import call as calls
 from nutmegworks.ingress import filters
 from nutmegworks.ingress import jobs
-from nutmegworks.model import ids
 from nutmegworks.net import message
 from nutmegworks.net import pool
 from nutmegworks.net import server
@@ -164,8 +162,7 @@
         self,
         request: message.Request,
     ) -> message.Response:
-        path, _, query = request.target.partition('?')
-        parameters = dict(urllib.parse.parse_qsl(query))
+        path = request.target.split('?', 1)[0]
         if path == relay.PATH:
             return await relay.serve(self._store_transport, request)
         if path == METRICS_PATH:
@@ -173,13 +170,7 @@
         term = leader_client.serving_term(self._candidate)
         if term is None or not self._membership.may_act_as_leader():
             return message.Response(503)
-        if path == leader_client.STATE_PATH:
-            state = await term.public_job_state(ids.JobId(parameters['job']))
-            return _json_response(leader_client.StateAnswer(state))
-        if path == leader_client.PENDING_PATH:
-            pending = term.state.pending(parameters['queue'])
-            return _json_response(leader_client.PendingAnswer(pending))
-        return message.Response(404)
+        return await leader_client.serve(term, request)
 
     def _render_metrics(self) -> message.Response:
         metrics = self._metrics
@@ -270,10 +261,6 @@
             await self._pool.close_expired()
 
 
-def _json_response(value: object) -> message.Response:
-    return message.json_response(200, value)
-
-
 def settings_path() -> str:
     """Return the path of the settings file from the environment."""
     return os.environ[platform_settings.PATH_VARIABLE]
--- a/src/nutmegworks/fleet/leader_client.py
+++ b/src/nutmegworks/fleet/leader_client.py
@@ -75,6 +75,22 @@
     return term if term is not None and term.loaded else None
 
 
+async def serve(
+    term: leaders.Term,
+    request: message.Request,
+) -> message.Response:
+    """Answer a query of a peer from the state of a term."""
+    path, _, query = request.target.partition('?')
+    parameters = dict(urllib.parse.parse_qsl(query))
+    if path == STATE_PATH:
+        state = await term.public_job_state(ids.JobId(parameters['job']))
+        return message.json_response(200, StateAnswer(state))
+    if path == PENDING_PATH:
+        pending = term.state.pending(parameters['queue'])
+        return message.json_response(200, PendingAnswer(pending))
+    return message.Response(404)
+
+
 class HttpLeaderClient(LeaderClient):
     """Queries the leader over HTTP, or locally if this daemon leads."""
 
@@ -153,5 +169,6 @@
     'PendingAnswer',
     'STATE_PATH',
     'StateAnswer',
+    'serve',
     'serving_term',
 )
