ingress: a deadline header that is no number does not break the call

What callers saw: a connection that breaks without an answer.

Cause: str.isdigit is true for superscript digits, which int refuses; 400 digits can not be made a float, and 5,000 are over the limit of int.

Change: limits/deadline.parse_milliseconds, which nutmegd uses already, reads the header; without a readable one the default applies.

Evidence: 4 of the 8 cases of test_an_odd_deadline_is_none failed before; tests/ingress/test_odd_calls.py passes now.

--- a/src/nutmegworks/daemon/fleetnode.py
+++ b/src/nutmegworks/daemon/fleetnode.py
@@ -22,6 +22,7 @@
 from nutmegworks.ingress import call as calls
 from nutmegworks.ingress import filters
 from nutmegworks.ingress import jobs
+from nutmegworks.limits import deadline
 from nutmegworks.net import message
 from nutmegworks.net import pool
 from nutmegworks.net import server
@@ -49,7 +50,7 @@
 STOP_ACCEPTING_SECONDS: typing.Final = 3.2
 # Part of the platform's grace period that is reserved for the exit.
 EXIT_MARGIN_SECONDS: typing.Final = 0.8
-# For calls without a deadline header.
+# For calls without a readable deadline header.
 DEFAULT_TIMEOUT_SECONDS: typing.Final = 3.0
 METRICS_PATH: typing.Final = '/metrics'
 # The configuration and the leader change rarely, and each watch that returns
@@ -141,10 +142,12 @@
         request: message.Request,
     ) -> message.Response:
         header = request.headers.get(wire.DEADLINE_HEADER, '')
-        timeout = DEFAULT_TIMEOUT_SECONDS
-        if header.isdigit():
-            timeout = int(header) / 1000
-        call = calls.Call(request, time.monotonic(), timeout)
+        timeout = deadline.parse_milliseconds(header)
+        call = calls.Call(
+            request,
+            time.monotonic(),
+            timeout.unwrap_or(DEFAULT_TIMEOUT_SECONDS),
+        )
         return await self._filter_chain(call)
 
     async def _handle_readiness(
--- a/tests/ingress/test_odd_calls.py
+++ b/tests/ingress/test_odd_calls.py
@@ -1,12 +1,19 @@
 """Calls with bodies and names as no correct client sends them."""
 from __future__ import annotations
 
+import msgspec
 import pytest
 
+from nutmegworks.daemon import fleetnode
+from nutmegworks.net import message
+from nutmegworks.platform import settings
+from nutmegworks.platform import wire
 from nutmegworks.tasks import records
+from tests import helpers
 from tests.ingress import builders
 from tests import odd_documents
 from tests.platform import test_odd_submissions
+from tests.platform import test_wire
 
 
 @pytest.mark.parametrize('name', test_odd_submissions.ODD_BODIES)
@@ -40,3 +47,21 @@
         assert response.status == 503
 
     builders.run(case)
+
+
+@pytest.mark.parametrize(
+    'text',
+    ['', 'x', '-1', '1.5', '\u00b2', '\u00b9\u00b2', '9' * 400, '9' * 5000],
+)
+def test_an_odd_deadline_is_none(text: str) -> None:
+    """Guards against a broken connection because of one header."""
+    node = fleetnode.FleetNode(
+        settings.decode(msgspec.json.encode(test_wire.settings_document()))
+    )
+
+    async def main() -> None:
+        request = message.Request('GET', '/', {wire.DEADLINE_HEADER: text})
+        response = await node._handle_client(request)
+        assert b'no configuration yet' in response.body
+
+    helpers.run(main)
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -149,7 +149,7 @@
         wire.decode_worker('servers/w1', msgspec.json.encode(document))
 
 
-def _settings_document(**bounds: object) -> dict[str, object]:
+def settings_document(**bounds: object) -> dict[str, object]:
     return {
         'nodeName': 'edge-1',
         'ip': '10.1.0.1',
@@ -174,7 +174,7 @@
 
 def test_settings_ignore_unknown_fields() -> None:
     """The platform adds fields to the settings without notice."""
-    document = _settings_document(maxHoldMs=9000, status_s=60)
+    document = settings_document(maxHoldMs=9000, status_s=60)
     decoded = settings.decode(msgspec.json.encode(document))
     assert decoded.peer_address == ('10.1.0.1', 7000)
     assert decoded.max_value == 2048
@@ -185,7 +185,7 @@
 
 def test_decisions_use_the_bounds_of_the_settings() -> None:
     """Guards against decisions by the bounds of another deployment."""
-    document = _settings_document(stopTimeoutMs=900, reclaimMs=3400)
+    document = settings_document(stopTimeoutMs=900, reclaimMs=3400)
     bounds = settings.decode(msgspec.json.encode(document)).bounds
     assert (bounds.stop_timeout, bounds.reclaim) == (0.9, 3.4)
 
@@ -195,11 +195,11 @@
     value: int
 ) -> None:
     """Guards against a daemon that fails, or preempts at once, for it."""
-    document = _settings_document(stopTimeoutMs=value, reclaimMs=value)
+    document = settings_document(stopTimeoutMs=value, reclaimMs=value)
     with logbook.TestHandler() as handler:
         bounds = settings.decode(msgspec.json.encode(document)).bounds
     defaults = settings.decode(
-        msgspec.json.encode(_settings_document())
+        msgspec.json.encode(settings_document())
     ).bounds
     assert bounds == defaults
     assert [record.kwargs['key'] for record in handler.records
