ingress: a path that is no job's ID names no job

What callers saw: a POST to PREFIX + ID + '/cancel' was accepted with 200; it cancelled the job ID, which may be of another tenant. A name that the store refuses as a key was repeated for 1.5 s and answered 504.

Cause: the rest of the path was used as a key without a check; the key of a cancel is the key of its job with a suffix.

Change: JobNameFilter, after authentication: 400 for a submission, 410 otherwise, unless the name has 16 hexadecimal digits.

--- a/src/nutmegworks/daemon/fleetnode.py
+++ b/src/nutmegworks/daemon/fleetnode.py
@@ -133,6 +133,7 @@
                 filters.LogFilter(self._metrics),
                 filters.RoutingFilter(self._configuration_holder),
                 filters.AuthenticationFilter(self._configuration_holder),
+                filters.JobNameFilter(),
             ),
             job_handler.handle,
         )
--- a/src/nutmegworks/ingress/filters.py
+++ b/src/nutmegworks/ingress/filters.py
@@ -1,6 +1,7 @@
 """Filters that log a call, find its queue and authenticate its team."""
 from __future__ import annotations
 
+import re
 import time
 import typing
 
@@ -14,6 +15,7 @@
 _LOG: typing.Final = logbook.Logger('ingress')
 
 _BEARER: typing.Final = 'bearer '
+_JOB_ID: typing.Final = re.compile('[0-9a-fA-F]{16}')
 
 
 class LogFilter(calls.Filter):
@@ -69,6 +71,24 @@
         return await proceed(call)
 
 
+class JobNameFilter(calls.Filter):
+    """Refuses calls whose path names neither a job nor a queue.
+
+    Other names could be those of keys beside the jobs' own.
+    """
+
+    async def handle(
+        self,
+        call: calls.Call,
+        proceed: calls.Proceed,
+    ) -> message.Response:
+        if not call.job_name or _JOB_ID.fullmatch(call.job_name):
+            return await proceed(call)
+        if call.request.method == 'POST':
+            return calls.refuse(400, 'the name is not the ID of a job')
+        return calls.refuse(410, 'no such job')
+
+
 class AuthenticationFilter(calls.Filter):
     """Finds the team of a call by its API key.
 
@@ -98,4 +118,9 @@
         return await proceed(call)
 
 
-__all__ = ('AuthenticationFilter', 'LogFilter', 'RoutingFilter')
+__all__ = (
+    'AuthenticationFilter',
+    'JobNameFilter',
+    'LogFilter',
+    'RoutingFilter',
+)
--- a/tests/ingress/builders.py
+++ b/tests/ingress/builders.py
@@ -73,6 +73,7 @@
                 filters.LogFilter(fleetmetrics.FleetMetrics()),
                 filters.RoutingFilter(holder),
                 filters.AuthenticationFilter(holder),
+                filters.JobNameFilter(),
             ),
             endpoint.handle,
         )
