fleet: odd calls between hosts are answered, odd answers are no answers

What callers saw: connections that break without an answer, of a peer whose call could not be read, and of a client whose job's state a leader answered in a form that could not be decoded.

Cause: relay.serve and leader_client.serve read headers and parameters that may be missing; float accepts 'nan' and 'inf'. HttpLeaderClient decoded without a guard. relay.decode_failure raised for an effect without a name here.

Change: 400 for such calls, for a relayed one with the effect 'none', as the store has not seen it. An unreadable answer of the leader is as none. An effect without a name here is UNKNOWN.

--- a/src/nutmegworks/fleet/leader_client.py
+++ b/src/nutmegworks/fleet/leader_client.py
@@ -12,6 +12,7 @@
 
 from nutmegworks.fleet import leader as leaders
 from nutmegworks.fleet import membership
+from nutmegworks.model import documents
 from nutmegworks.model import ids
 from nutmegworks.net import message
 from nutmegworks.net import pool
@@ -42,7 +43,7 @@
 class PendingAnswer(msgspec.Struct):
     """The response to a query for the pending jobs of a queue."""
 
-    pending: int
+    pending: documents.Count
 
 
 class NoLeaderError(msgspec.Struct):
@@ -79,14 +80,23 @@
     term: leaders.Term,
     request: message.Request,
 ) -> message.Response:
-    """Answer a query of a peer from the state of a term."""
+    """Answer a query of a peer from the state of a term.
+
+    :return: 400 if a parameter is missing, 404 for an unknown path.
+    """
     path, _, query = request.target.partition('?')
     parameters = dict(urllib.parse.parse_qsl(query))
     if path == STATE_PATH:
-        state = await term.public_job_state(ids.JobId(parameters['job']))
+        job_id = parameters.get('job')
+        if job_id is None:
+            return message.Response(400)
+        state = await term.public_job_state(ids.JobId(job_id))
         return message.json_response(200, StateAnswer(state))
     if path == PENDING_PATH:
-        pending = term.state.pending(parameters['queue'])
+        queue = parameters.get('queue')
+        if queue is None:
+            return message.Response(400)
+        pending = term.state.pending(queue)
         return message.json_response(200, PendingAnswer(pending))
     return message.Response(404)
 
@@ -158,7 +168,10 @@
         response = answer.ok_value
         if response.status != 200:
             return result.Err(NoLeaderError(f'status {response.status}'))
-        return result.Ok(msgspec.json.decode(response.body, type=answer_type))
+        try:
+            return result.Ok(documents.decode(response.body, answer_type))
+        except documents.DocumentError as error:
+            return result.Err(NoLeaderError(f'unreadable answer: {error}'))
 
 
 __all__ = (
--- a/src/nutmegworks/fleet/relay.py
+++ b/src/nutmegworks/fleet/relay.py
@@ -3,6 +3,7 @@
 
 import abc
 import dataclasses
+import math
 import typing
 
 import result
@@ -21,6 +22,11 @@
 # that its own answer arrives in time.
 PEER_TIMEOUT_SHARE: typing.Final = 0.9
 
+_EFFECT_BY_NAME: typing.Final = {
+    effect.value: effect
+    for effect in call_effect.Effect
+}
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Failure:
@@ -79,26 +85,45 @@
 ) -> result.Result[None, call_effect.Effect]:
     """Return the effect of a call that the store did not answer to the peer.
 
-    :return: Ok if the response is the store's own.
+    :return: Ok if the response is the store's own; ``UNKNOWN`` for an effect
+        that has no name here.
     """
     failed = response.headers.get(FAILED_HEADER)
     if failed is None:
         return result.Ok(None)
-    return result.Err(call_effect.Effect(failed))
+    effect = _EFFECT_BY_NAME.get(failed, call_effect.Effect.UNKNOWN)
+    return result.Err(effect)
+
+
+def _decode_timeout(text: str) -> float | None:
+    """Return seconds, None if the text is no time limit."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        return None
+    return seconds if 0 < seconds < math.inf else None
 
 
 async def serve(
     route: DirectRoute,
     request: message.Request,
 ) -> message.Response:
-    """Send a peer's call to the store and return the answer for the peer."""
+    """Send a peer's call to the store and return the answer for the peer.
+
+    :return: 400, without effect, if the call can not be read.
+    """
+    method = request.headers.get(METHOD_HEADER)
+    target = request.headers.get(TARGET_HEADER)
+    timeout = _decode_timeout(request.headers.get(TIMEOUT_HEADER, ''))
+    if not method or not target or timeout is None:
+        effect = call_effect.Effect.NONE
+        return message.Response(400, {FAILED_HEADER: effect.value})
     relayed_request = message.Request(
-        request.headers[METHOD_HEADER],
-        request.headers[TARGET_HEADER],
+        method,
+        target,
         {'content-type': 'application/json'},
         request.body,
     )
-    timeout = float(request.headers[TIMEOUT_HEADER])
     outcome = await route.direct(relayed_request, PEER_TIMEOUT_SHARE * timeout)
     if isinstance(outcome, Failure):
         return message.Response(503, {FAILED_HEADER: outcome.effect.value})
