platform: odd settings end the start with their reason

What callers saw: a daemon whose start ends with a traceback.

Cause: the settings were decoded without a guard for RecursionError, and ports out of range were found by bind.

Change: settings use model/documents; a port is 1 to 65535.

--- a/src/nutmegworks/model/documents.py
+++ b/src/nutmegworks/model/documents.py
@@ -57,12 +57,12 @@
 
 
 def parse_address(text: str) -> tuple[str, int]:
-    """Return host and port.
+    """Return host and port; the host is not checked.
 
     :raise DocumentError: not of the form host:port, or not a port.
     """
-    host, _, port = text.rpartition(':')
-    if not host or not _PORT.fullmatch(port):
+    host, colon, port = text.rpartition(':')
+    if not colon or not _PORT.fullmatch(port):
         detail = text[:_MAX_DETAIL_CHARACTERS]
         raise DocumentError(f'{detail!r} is not host:port')
     number = int(port)
--- a/src/nutmegworks/platform/settings.py
+++ b/src/nutmegworks/platform/settings.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from nutmegworks.fleet import transport
+from nutmegworks.model import documents
 from nutmegworks.model import ids
 
 _LOG: typing.Final = logbook.Logger('settings')
@@ -99,7 +100,7 @@
     ip: str
     zone: str
     bind_addrs: _BindAddresses
-    internal_ports: tuple[int, int]
+    internal_ports: tuple[documents.Port, int]
     platform: _Store
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
@@ -126,31 +127,20 @@
     return default / 1000
 
 
-def parse_address(text: str) -> tuple[str, int]:
-    """Return host and port.
-
-    :raise ValueError: not of the form host:port.
-    """
-    host, colon, port = text.rpartition(':')
-    if not colon:
-        raise ValueError(f'{text!r} is not host:port')
-    return host, int(port)
-
-
 def decode(data: bytes) -> NodeSettings:
     """Return the settings in a file.
 
-    :raise ValueError: a field is missing or of another type.
+    :raise ValueError: a field is missing, of another type or out of range.
     """
-    file = msgspec.json.decode(data, type=_File)
+    file = documents.decode(data, _File)
     bounds = file.bounds
     return NodeSettings(
         member_id=ids.MemberId(file.node_name),
         domain_id=ids.DomainId(file.zone),
-        client_address=parse_address(file.bind_addrs.front),
-        readiness_address=parse_address(file.bind_addrs.ready),
+        client_address=documents.parse_address(file.bind_addrs.front),
+        readiness_address=documents.parse_address(file.bind_addrs.ready),
         peer_address=(file.ip, file.internal_ports[0]),
-        store_address=parse_address(file.platform.address),
+        store_address=documents.parse_address(file.platform.address),
         min_lease=file.platform.min_ttl_ms / 1000,
         max_value=file.platform.value_bytes,
         cores=file.limits.cpu_share * file.limits.cores,
@@ -172,5 +162,4 @@
     'NodeSettings',
     'PATH_VARIABLE',
     'decode',
-    'parse_address',
 )
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -12,6 +12,7 @@
 from nutmegworks.tasks import spec
 from nutmegworks.tasks import workers
 from tests.fleet import builders
+from tests import odd_documents
 
 CONFIGURATION = {
     'version':
@@ -198,9 +199,28 @@
     document = settings_document(stopTimeoutMs=value, reclaimMs=value)
     with logbook.TestHandler() as handler:
         bounds = settings.decode(msgspec.json.encode(document)).bounds
-    defaults = settings.decode(
-        msgspec.json.encode(settings_document())
-    ).bounds
+    defaults = settings.decode(msgspec.json.encode(settings_document())).bounds
     assert bounds == defaults
     assert [record.kwargs['key'] for record in handler.records
             ] == ['bounds.stopTimeoutMs', 'bounds.reclaimMs']
+
+
+@pytest.mark.parametrize(
+    ('field', 'raw'),
+    [
+        ('news', odd_documents.NESTED),
+        ('internalPorts', b'[70000,7015]'),
+        ('internalPorts', b'[0,7015]'),
+        ('internalPorts', b'[' + odd_documents.LONG_NUMBER + b',7015]'),
+        ('bindAddrs', b'{"front":"10.1.0.1:65536","ready":"10.1.0.1:2"}'),
+        ('bindAddrs', b'{"front":"10.1.0.1","ready":"10.1.0.1:2"}'),
+        ('platform', b'{"address":"10.9.0.1:-4"}'),
+        ('platform', b'{"address":"10.9.0.1:4","minTtlMs":1e400}'),
+    ],
+    ids=range(8),
+)
+def test_odd_settings_are_not_valid(field: str, raw: bytes) -> None:
+    """Guards against an exit with a traceback in place of the reason."""
+    data = odd_documents.with_value(settings_document(), field, raw)
+    with pytest.raises(ValueError):
+        settings.decode(data)
