net: HEAD and CONNECT are answered

What callers saw: a connection that breaks without a response.

Cause: h11 refuses the body of a response to HEAD, and takes a 2xx response to CONNECT as the start of a tunnel; neither error was handled.

Change: a response to HEAD has no body; CONNECT is refused with 400.

Evidence: test_a_method_whose_response_has_no_body_is_answered failed 2 of 2 before; tests/net passes now.

--- a/src/nutmegworks/net/server.py
+++ b/src/nutmegworks/net/server.py
@@ -206,6 +206,14 @@
             return False
         if request is None:
             return False
+        if request.method == 'CONNECT':
+            # h11 takes a 2xx response as the start of a tunnel.
+            await self._refuse(
+                verdict.did_not_run(
+                    verdict.Reason.BAD_REQUEST, 'this is not a proxy'
+                )
+            )
+            return False
         return await self._answer(request)
 
     async def _wait_for_request(self) -> bool:
@@ -267,7 +275,7 @@
         self._server._in_flight += 1
         try:
             response = await self._server._handler(request)
-            await self._write(response)
+            await self._write(response, send_body=request.method != 'HEAD')
         except AbortConnection as abort:
             await self._sock.sendall(abort.raw)
             await curio.sleep(abort.linger)
@@ -291,6 +299,7 @@
         response: message.Response,
         *,
         close: bool = False,
+        send_body: bool = True,
     ) -> None:
         headers = dict(response.headers)
         if close or self._server._state is _State.DRAINING:
@@ -302,7 +311,7 @@
                 headers=message.encode_headers(headers, response.body),
             )
         ) or b''
-        if response.body:
+        if response.body and send_body:
             data += http.send(h11.Data(data=response.body)) or b''
         data += http.send(h11.EndOfMessage()) or b''
         async with curio.timeout_after(self._limits.write_timeout):
--- a/tests/net/test_server.py
+++ b/tests/net/test_server.py
@@ -118,3 +118,29 @@
             await curio.open_connection(*service.address)
 
     helpers.run(main)
+
+
+@pytest.mark.parametrize(
+    ('line', 'status'),
+    [
+        (b'HEAD / HTTP/1.1', b'HTTP/1.1 200'),
+        (b'CONNECT a:80 HTTP/1.1', b'HTTP/1.1 400'),
+    ],
+)
+def test_a_method_whose_response_has_no_body_is_answered(
+    line: bytes, status: bytes
+) -> None:
+    """Guards against a connection that breaks without a response."""
+
+    async def answer(request: message.Request) -> message.Response:
+        return message.Response(200, {}, b'body')
+
+    async def main() -> None:
+        async with helpers.serving(answer, limits=LIMITS) as address:
+            received = await _send_raw(
+                address, line + b'\r\nhost: a\r\nconnection: close\r\n\r\n'
+            )
+            assert received.startswith(status)
+            assert not received.endswith(b'\r\n\r\nbody')
+
+    helpers.run(main)
