platform: refuse a gang that its leader could not end in time

What callers saw: a leader that answers nothing for seconds.

Cause: the end of each member of a gang visits all runs of its job.

Change: a gang has at most 1,000 tasks; a larger one is answered 400.

--- a/src/nutmegworks/platform/wire.py
+++ b/src/nutmegworks/platform/wire.py
@@ -35,6 +35,8 @@
 # A leader visits each unfinished task in each planning round; further tasks
 # would delay the rounds of all jobs.
 MAX_TASKS_OF_AN_OCCURRENCE: typing.Final = spec.MAX_COPIES
+# The end of each member of a gang visits the other runs of its job.
+MAX_TASKS_OF_A_GANG: typing.Final = 1000
 MAX_TASKS_OF_A_JOB: typing.Final = 10 * MAX_TASKS_OF_AN_OCCURRENCE
 MAX_SPEC_BYTES: typing.Final = 4000
 # About 30 years; arithmetic with it stays finite.
@@ -119,6 +121,10 @@
         raise documents.DocumentError(
             f'step {number} has no task or an impossible order'
         )
+    if step.gang and step.count > MAX_TASKS_OF_A_GANG:
+        raise documents.DocumentError(
+            f'step {number} is a gang of more than {MAX_TASKS_OF_A_GANG} tasks'
+        )
     return spec.Step(
         number=number,
         count=step.count,
--- a/tests/platform/test_odd_submissions.py
+++ b/tests/platform/test_odd_submissions.py
@@ -35,6 +35,7 @@
     'count above a float':
     b'{"steps":[{"count":' + odd_documents.LONG_NUMBER + b'}]}',
     'many tasks in all steps': b'{"steps":[{"count":9000},{"count":9000}]}',
+    'large gang': b'{"steps":[{"count":1001,"gang":true}]}',
     'many occurrences': b'{"steps":[{"count":1}],"repeatCount":1000000000}',
     'many tasks in all occurrences':
     b'{"steps":[{"count":9000}],"repeatCount":9000}',
