--- a/tests/fleet/test_odd_control.py
+++ b/tests/fleet/test_odd_control.py
@@ -27,7 +27,7 @@
     return interfaces.Changes(items, (), ids.StoreRevision(2))
 
 
-def _odd_members() -> dict[str, bytes]:
+def odd_members() -> dict[str, bytes]:
     document = {'host': '10.0.0.2', 'port': 7000, 'domain': 'north'}
     return {
         'nested': odd_documents.nested(document),
@@ -39,7 +39,7 @@
 
 
 @pytest.mark.parametrize('read', ['replace', 'apply'])
-@pytest.mark.parametrize('name', _odd_members())
+@pytest.mark.parametrize('name', odd_members())
 def test_an_odd_member_record_is_no_peer(name: str, read: str) -> None:
     """Guards against a daemon that ends, or calls that raise."""
 
@@ -54,7 +54,7 @@
         first = [_item(f'{prefix}a', good), _item(f'{prefix}b', good)]
         await control.replace(first)
         assert len(sink.relay_peers()) == 2
-        odd = _item(f'{prefix}a', _odd_members()[name], 2)
+        odd = _item(f'{prefix}a', odd_members()[name], 2)
         if read == 'replace':
             await control.replace([odd, first[1]])
         else:
--- a/tests/fleet/test_odd_records.py
+++ b/tests/fleet/test_odd_records.py
@@ -14,7 +14,7 @@
 JOB = ids.JobId('a1')
 
 
-def _odd_job_records() -> dict[str, bytes]:
+def odd_job_records() -> dict[str, bytes]:
     good = builders.accepted()
     document = msgspec.json.decode(records.encode(good))
     return {
@@ -38,7 +38,7 @@
     }
 
 
-@pytest.mark.parametrize('name', _odd_job_records())
+@pytest.mark.parametrize('name', odd_job_records())
 def test_an_odd_job_record_is_passed_over(name: str) -> None:
     """Guards against a term that ends, or never leaves a planning round."""
 
@@ -46,7 +46,7 @@
         store, fleet = memory.MemoryStore(), memory.MemoryWorkers()
         builders.put_worker(store, 'w1')
         odd_id = ids.JobId('b2')
-        store.put(records.job_key(odd_id), _odd_job_records()[name])
+        store.put(records.job_key(odd_id), odd_job_records()[name])
         async with builders.running_term(store, fleet) as term:
             builders.put_job(store, JOB, builders.accepted())
             await builders.finish(fleet, term, JOB)
@@ -56,7 +56,7 @@
     helpers.run(main)
 
 
-def _odd_progress_records() -> dict[str, bytes]:
+def odd_progress_records() -> dict[str, bytes]:
     document = msgspec.json.decode(records.encode(records.Progress()))
     return {
         'nested': odd_documents.nested(document),
@@ -65,7 +65,7 @@
     }
 
 
-@pytest.mark.parametrize('name', _odd_progress_records())
+@pytest.mark.parametrize('name', odd_progress_records())
 def test_a_job_with_an_odd_progress_record_is_left_alone(name: str) -> None:
     """What has run is not known, so that a start could be a second one.
 
@@ -76,7 +76,7 @@
         store, fleet = memory.MemoryStore(), memory.MemoryWorkers()
         builders.put_worker(store, 'w1')
         odd_id = ids.JobId('b2')
-        data = _odd_progress_records()[name]
+        data = odd_progress_records()[name]
         key = records.progress_key(odd_id)
         store.put(key, data)
         builders.put_job(store, odd_id, builders.accepted())
