--- a/src/nutmegworks/daemon/fleetnode.py
+++ b/src/nutmegworks/daemon/fleetnode.py
@@ -7,7 +7,6 @@
 import signal
 import time
 import typing
-import urllib.parse
 
 import curio
 import logbook
@@ -23,7 +22,7 @@
 from nutmegworks.ingress import call as calls
 from nutmegworks.ingress import filters
 from nutmegworks.ingress import jobs
-from nutmegworks.model import ids
+from nutmegworks.limits import deadline
 from nutmegworks.net import message
 from nutmegworks.net import pool
 from nutmegworks.net import server
@@ -51,7 +50,7 @@
 STOP_ACCEPTING_SECONDS: typing.Final = 3.2
 # Part of the platform's grace period that is reserved for the exit.
 EXIT_MARGIN_SECONDS: typing.Final = 0.8
-# For calls without a deadline header.
+# For calls without a readable deadline header.
 DEFAULT_TIMEOUT_SECONDS: typing.Final = 3.0
 METRICS_PATH: typing.Final = '/metrics'
 # The configuration and the leader change rarely, and each watch that returns
@@ -134,6 +133,7 @@
                 filters.LogFilter(self._metrics),
                 filters.RoutingFilter(self._configuration_holder),
                 filters.AuthenticationFilter(self._configuration_holder),
+                filters.JobNameFilter(),
             ),
             job_handler.handle,
         )
@@ -143,10 +143,12 @@
         request: message.Request,
     ) -> message.Response:
         header = request.headers.get(wire.DEADLINE_HEADER, '')
-        timeout = DEFAULT_TIMEOUT_SECONDS
-        if header.isdigit():
-            timeout = int(header) / 1000
-        call = calls.Call(request, time.monotonic(), timeout)
+        timeout = deadline.parse_milliseconds(header)
+        call = calls.Call(
+            request,
+            time.monotonic(),
+            timeout.unwrap_or(DEFAULT_TIMEOUT_SECONDS),
+        )
         return await self._filter_chain(call)
 
     async def _handle_readiness(
@@ -164,8 +166,7 @@
         self,
         request: message.Request,
     ) -> message.Response:
-        path, _, query = request.target.partition('?')
-        parameters = dict(urllib.parse.parse_qsl(query))
+        path = request.target.split('?', 1)[0]
         if path == relay.PATH:
             return await relay.serve(self._store_transport, request)
         if path == METRICS_PATH:
@@ -173,13 +174,7 @@
         term = leader_client.serving_term(self._candidate)
         if term is None or not self._membership.may_act_as_leader():
             return message.Response(503)
-        if path == leader_client.STATE_PATH:
-            state = await term.public_job_state(ids.JobId(parameters['job']))
-            return _json_response(leader_client.StateAnswer(state))
-        if path == leader_client.PENDING_PATH:
-            pending = term.state.pending(parameters['queue'])
-            return _json_response(leader_client.PendingAnswer(pending))
-        return message.Response(404)
+        return await leader_client.serve(term, request)
 
     def _render_metrics(self) -> message.Response:
         metrics = self._metrics
@@ -270,10 +265,6 @@
             await self._pool.close_expired()
 
 
-def _json_response(value: object) -> message.Response:
-    return message.json_response(200, value)
-
-
 def settings_path() -> str:
     """Return the path of the settings file from the environment."""
     return os.environ[platform_settings.PATH_VARIABLE]
--- a/src/nutmegworks/fleet/sinks.py
+++ b/src/nutmegworks/fleet/sinks.py
@@ -4,13 +4,13 @@
 import typing
 
 import logbook
-import msgspec
 
 from nutmegworks.fleet import interfaces
 from nutmegworks.fleet import membership
 from nutmegworks.fleet import prefix_watcher
 from nutmegworks.fleet import state as fleet_state
 from nutmegworks.fleet import worker as fleet_worker
+from nutmegworks.model import documents
 from nutmegworks.model import ids
 from nutmegworks.tasks import records
 
@@ -46,13 +46,12 @@
             )
             return
         job_id = ids.JobId(name)
-        jobs_by_id = self._state.jobs_by_id
-        if job_id in jobs_by_id or job_id in self._state.removed_ids:
+        if (job_id in self._state.jobs_by_id
+                or job_id in self._state.removed_ids
+                or job_id in self._state.unreadable_ids):
             return
         try:
-            accepted = msgspec.json.decode(
-                item.value, type=records.AcceptedJob
-            )
+            accepted = documents.decode(item.value, records.AcceptedJob)
             submission = self._decoder.submission(accepted.body)
         except ValueError as error:
             _LOG.error(
@@ -106,16 +105,23 @@
 
     async def apply(self, changes: interfaces.Changes) -> None:
         for key, _ in changes.removed:
-            worker_id = key.removeprefix(self._decoder.workers_prefix)
-            worker = self._state.workers_by_id.get(ids.WorkerId(worker_id))
-            if worker is not None:
-                worker.registered = False
-                _LOG.info('worker entry removed', worker=worker_id)
+            self._unregister(key, 'worker entry removed')
         for item in changes.items:
-            await self._put(item)
+            if await self._put(item) is None:
+                # As if it were missing from a listing.
+                self._unregister(item.key, 'worker entry became unusable')
         await self._state.notify()
 
+    def _unregister(self, key: str, reason: str) -> None:
+        """Give a worker no more work; its runs go on."""
+        worker_id = key.removeprefix(self._decoder.workers_prefix)
+        worker = self._state.workers_by_id.get(ids.WorkerId(worker_id))
+        if worker is not None:
+            worker.registered = False
+            _LOG.info(reason, worker=worker_id, runs=len(worker.runs_by_key))
+
     async def _put(self, item: interfaces.Item) -> ids.WorkerId | None:
+        """Return the entry's worker, None if the entry names none to use."""
         try:
             entry = self._decoder.worker(item.key, item.value)
         except ValueError as error:
--- a/src/nutmegworks/ingress/jobs.py
+++ b/src/nutmegworks/ingress/jobs.py
@@ -174,7 +174,7 @@
         if progress.is_err():
             return progress
         if progress.ok_value is not None:
-            return result.Ok(records.decode_state(progress.ok_value.value))
+            return _decode_state(progress.ok_value)
         accepted = await self._store.get(records.job_key(job_id))
         if accepted.is_err():
             return accepted
@@ -222,6 +222,18 @@
     return ATTEMPT_INTERVAL_SECONDS * random.uniform(1, 1 + ATTEMPT_JITTER)
 
 
+def _decode_state(item: interfaces.Item) -> _State:
+    try:
+        return result.Ok(records.decode_state(item.value))
+    except ValueError as error:
+        _LOG.error(
+            'job state could not be decoded', key=item.key, error=str(error)
+        )
+        return result.Err(
+            interfaces.StoreError(call_effect.Effect.NONE, str(error))
+        )
+
+
 def _not_written(
     key: str,
     errors: typing.Sequence[interfaces.StoreError],
--- a/src/nutmegworks/platform/wire.py
+++ b/src/nutmegworks/platform/wire.py
@@ -1,13 +1,14 @@
 """Decodes the platform's JSON documents into the types of ``tasks``."""
 from __future__ import annotations
 
+import re
 import typing
 
 import msgspec
 
 from nutmegworks.fleet import interfaces
+from nutmegworks.model import documents
 from nutmegworks.model import ids
-from nutmegworks.platform import settings
 from nutmegworks.tasks import configuration
 from nutmegworks.tasks import spec
 from nutmegworks.tasks import workers
@@ -21,32 +22,61 @@
 # Labels of the form r1-3 are racks; the other labels name the worker's kind.
 _RACK_LABEL_PREFIX: typing.Final = 'r'
 
+# Limits of one worker's capacity and of one task's request. No host is as
+# large: by a larger number, all work would seem to fit on that worker.
+MAX_CPU: typing.Final = 10_000 * 1000  # thousandths of a core
+MAX_MEMORY: typing.Final = 1024 * 1024 * 1024  # MiB
+MAX_ACCELERATORS: typing.Final = 10_000
+
+_Cpu = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_CPU)]
+_Memory = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_MEMORY)]
+_Accelerators = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_ACCELERATORS)]
+
+# A leader visits each unfinished task in each planning round; further tasks
+# would delay the rounds of all jobs.
+MAX_TASKS_OF_AN_OCCURRENCE: typing.Final = spec.MAX_COPIES
+# The end of each member of a gang visits the other runs of its job.
+MAX_TASKS_OF_A_GANG: typing.Final = 1000
+MAX_TASKS_OF_A_JOB: typing.Final = 10 * MAX_TASKS_OF_AN_OCCURRENCE
+MAX_SPEC_BYTES: typing.Final = 4000
+# About 30 years; arithmetic with it stays finite.
+MAX_DURATION_MS: typing.Final = 1e12
+
+_Duration = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_DURATION_MS)]
+_UnixTime = typing.Annotated[
+    float,
+    msgspec.Meta(ge=0, le=documents.MAX_UNIX_MS),
+]
+
+# Requests name a worker in a header, which carries visible ASCII only.
+_WORKER_ID: typing.Final = re.compile('[!-~]+')
+
 
 class _Step(msgspec.Struct, rename='camel'):
     count: int
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimated_ms: float = 0
+    cpu: _Cpu = 0
+    mem_mb: _Memory = 0
+    gpu: _Accelerators = 0
+    estimated_ms: _Duration = 0
     after: list[int] = []
     checkpointing: bool = False
     gang: bool = False
     same_rack: bool = False
     requirements: str = ''
     affinity: str = ''
-    anti_affinity: int = 0
+    anti_affinity: documents.Count = 0
     allow_duplicates: bool = False
     long_running: bool = False
     fills: bool = False
-    may_miss: int = 0
+    may_miss: documents.Count = 0
 
 
 class _Job(msgspec.Struct, rename='camel'):
     steps: list[_Step]
     spec: str = ''
-    repeat_count: int = 0
-    start_at_ms: float = 0
-    interval_ms: float = 0
+    repeat_count: documents.Count = 0
+    start_at_ms: _UnixTime = 0
+    interval_ms: _Duration = 0
 
 
 def decode_submission(data: bytes) -> spec.Submission:
@@ -54,9 +84,14 @@
 
     :raise ValueError: unreadable, or not a job that can run.
     """
-    job = msgspec.json.decode(data, type=_Job)
+    job = documents.decode(data, _Job)
     if not job.steps:
-        raise ValueError('a job needs a step')
+        raise documents.DocumentError('a job needs a step')
+    if len(job.spec.encode()) > MAX_SPEC_BYTES:
+        raise documents.DocumentError(
+            f'the spec is longer than {MAX_SPEC_BYTES} bytes'
+        )
+    _check_size(job)
     return spec.Submission(
         payload=job.spec,
         steps=tuple(
@@ -69,9 +104,27 @@
     )
 
 
+def _check_size(job: _Job) -> None:
+    tasks = sum(step.count for step in job.steps)
+    if tasks > MAX_TASKS_OF_AN_OCCURRENCE:
+        raise documents.DocumentError(
+            f'more than {MAX_TASKS_OF_AN_OCCURRENCE} tasks'
+        )
+    if tasks * job.repeat_count > MAX_TASKS_OF_A_JOB:
+        raise documents.DocumentError(
+            f'more than {MAX_TASKS_OF_A_JOB} tasks in all occurrences'
+        )
+
+
 def _decode_step(number: spec.StepNumber, step: _Step) -> spec.Step:
     if step.count < 1 or any(not 0 <= other < number for other in step.after):
-        raise ValueError(f'step {number} has no task or an impossible order')
+        raise documents.DocumentError(
+            f'step {number} has no task or an impossible order'
+        )
+    if step.gang and step.count > MAX_TASKS_OF_A_GANG:
+        raise documents.DocumentError(
+            f'step {number} is a gang of more than {MAX_TASKS_OF_A_GANG} tasks'
+        )
     return spec.Step(
         number=number,
         count=step.count,
@@ -138,7 +191,7 @@
 
     :raise ValueError: unreadable, or not a configuration.
     """
-    document = msgspec.json.decode(data, type=_Configuration)
+    document = documents.decode(data, _Configuration)
     return configuration.Configuration(
         version=document.version,
         queues_by_id={
@@ -177,9 +230,9 @@
 
 
 class _Capacity(msgspec.Struct, rename='camel'):
-    cpu: int
-    mem_mb: int
-    gpu: int = 0
+    cpu: _Cpu
+    mem_mb: _Memory
+    gpu: _Accelerators = 0
 
 
 class _Worker(msgspec.Struct, rename='camel'):
@@ -191,7 +244,7 @@
     capacity: _Capacity
     labels: list[str]
     # The incarnation of the worker.
-    born: int = 0
+    born: documents.UnixMilliseconds = 0
     remaining_ms: float | None = None
 
 
@@ -204,17 +257,23 @@
 def decode_worker(key: str, data: bytes) -> workers.WorkerEntry:
     """Return a worker's registration.
 
-    :raise ValueError: unreadable, or not a registration.
+    :raise ValueError: unreadable, or not a registration of a worker that can
+        be used.
     """
-    entry = msgspec.json.decode(data, type=_Worker)
+    worker_id = key.removeprefix(WORKERS_PREFIX)
+    if not _WORKER_ID.fullmatch(worker_id):
+        raise documents.DocumentError('not the key of a worker')
+    entry = documents.decode(data, _Worker)
+    address = documents.parse_address(entry.address)
+    documents.check_ip(address[0])
     racks = [
         label for label in entry.labels
         if label.startswith(_RACK_LABEL_PREFIX) and '-' in label
     ]
     remaining = entry.remaining_ms
     return workers.WorkerEntry(
-        worker_id=ids.WorkerId(key.removeprefix(WORKERS_PREFIX)),
-        address=settings.parse_address(entry.address),
+        worker_id=ids.WorkerId(worker_id),
+        address=address,
         service_id=ids.ServiceId(entry.service),
         domain_id=ids.DomainId(entry.zone),
         state=_STATE_BY_NAME[entry.state],
@@ -224,7 +283,7 @@
         ),
         rack=racks[0] if racks else '',
         labels=frozenset(entry.labels),
-        remaining=None if remaining is None else remaining / 1000,
+        remaining=None if remaining is None else max(0.0, remaining / 1000),
     )
 
 
--- a/src/nutmegworks/tasks/records.py
+++ b/src/nutmegworks/tasks/records.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from nutmegworks.model import documents
 from nutmegworks.model import ids
 
 JOBS_PREFIX: typing.Final = 'nutmeg/jobs/'
@@ -19,6 +20,8 @@
 # Every write of the leader changes this key, which keeps its writes in order.
 SEQUENCE_KEY: typing.Final = 'nutmeg/sequence'
 
+_Amount = typing.Annotated[float, msgspec.Meta(ge=0)]
+
 
 class JobState(enum.Enum):
     """The state of an accepted job as shown to its client."""
@@ -119,10 +122,10 @@
     """
 
     host: str
-    port: int
+    port: documents.Port
     domain: str
-    cores: float = 0.0
-    link: float = 0.0
+    cores: _Amount = 0.0
+    link: _Amount = 0.0
 
 
 class Leader(msgspec.Struct, frozen=True):
@@ -134,7 +137,7 @@
     member: str
     incarnation: str
     host: str
-    port: int
+    port: documents.Port
 
 
 # Suffix of the key of a cancellation, after the key of its job.
@@ -163,8 +166,11 @@
 
 
 def decode_state(value: bytes) -> JobState:
-    """Return the job state in a stored ``Progress``."""
-    return msgspec.json.decode(value, type=_StateOnly).state
+    """Return the job state in a stored ``Progress``.
+
+    :raise ValueError: it can not be read.
+    """
+    return documents.decode(value, _StateOnly).state
 
 
 __all__ = (
