telemetry: a log that nobody reads does not stop the daemon

Cause: log lines were written with a blocking call.

Change: telemetry/log_stream.LogStream polls the descriptor before each write of at most PIPE_BUF bytes, keeps what it does not take (1 MiB) and drops further lines; their number is logged once the others have been written. The descriptor's mode is not changed, as other processes may share it.

--- a/src/nutmegworks/daemon/fleet.py
+++ b/src/nutmegworks/daemon/fleet.py
@@ -24,8 +24,9 @@
     logbook = importlib.import_module('logbook')
     logs = importlib.import_module('nutmegworks.telemetry.logs')
     logging.getLogger('curio').setLevel(logging.ERROR)
+    log_stream = importlib.import_module('nutmegworks.telemetry.log_stream')
     logs.JsonHandler(
-        sys.stdout,
+        log_stream.LogStream(sys.stdout.fileno()),
         level='info',
         lines_per_second=LINES_PER_SECOND_PER_EVENT,
     ).push_application()
--- a/src/nutmegworks/telemetry/logs.py
+++ b/src/nutmegworks/telemetry/logs.py
@@ -9,6 +9,8 @@
 import logbook
 import msgspec
 
+from nutmegworks.telemetry import log_stream
+
 # Keeps a failure that repeats with each request from filling the log.
 LINES_PER_SECOND_PER_EVENT: typing.Final = 5
 
@@ -22,17 +24,22 @@
 
     The next line that is written for an event gives the number of lines
     dropped before it as ``dropped_lines``.
+
+    :param stream: by default the process's standard error.
     """
 
     def __init__(
         self,
-        stream: typing.TextIO | None = None,
+        stream: log_stream.LogStream | None = None,
         *,
         level: str = 'info',
         lines_per_second: int = LINES_PER_SECOND_PER_EVENT,
         clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
-        super().__init__(stream or sys.stderr, level=level.upper())
+        super().__init__(
+            stream or log_stream.LogStream(sys.stderr.fileno()),
+            level=level.upper(),
+        )
         self._clock = clock
         self._rate = lines_per_second
         self._burst = _BURST_SECONDS * lines_per_second
