jobs: a go that was sent again may have executed

What callers saw: a job of a class that is not idempotent ran twice. Its worker was lost in the first run, and the record went back to ACCEPTED in place of MAY_HAVE_RUN, with the start not counted. A cancel then also said did-not-run.

Cause: a ``go`` that could not be sent (connection refused) cleared may_have_started, and the ``go`` that was sent again did not set it. If the second one succeeded, was not answered, or was still open when another member stopped the gang, the attempt ended with may_have_executed False.

Class: several tries of one call become one verdict; here the first try won.

Change: each member keeps the effect of every ``go``, unknown when it is sent, and call_effect.combine makes the verdict.

--- a/src/nutmegworks/jobs/gang.py
+++ b/src/nutmegworks/jobs/gang.py
@@ -12,6 +12,7 @@
 
 from nutmegworks.adapters import workers
 from nutmegworks.model import ids
+from nutmegworks.policy import call_effect
 
 # Longer than an owner's lease and a takeover together, so that a new owner
 # still finds the staged members of a committed gang and can roll it forward.
@@ -211,26 +212,33 @@
 
     :param phase: as of its last answer.
     :param sends: how often the message of the current round was sent.
-    :param may_have_started: whether a ``go`` may have taken effect.
-    :param go_unanswered: whether a ``go`` was sent but not answered.
+    :param go_effects: whether each ``go`` may have taken effect, in order; an
+        unanswered or successful one may have.
     """
 
     phase: workers.TaskPhase | None = None
     sends: int = 0
-    may_have_started: bool = False
-    go_unanswered: bool = False
+    go_effects: list[_Effect] = dataclasses.field(default_factory=list)
     checkpoint: str = ''
     result: bytes = b''
 
+    @property
+    def may_have_started(self) -> bool:
+        return call_effect.combine(self.go_effects) is _Effect.UNKNOWN
+
 
 _TaskPhase = workers.TaskPhase
 _Step = workers.Step
 _Fault = workers.WorkerFault
+_Effect = call_effect.Effect
 
 # The message may be sent again after these faults: no answer was received,
 # and all messages are idempotent.
 _UNANSWERED: typing.Final = frozenset({_Fault.NO_ANSWER, _Fault.NOT_SENT})
 
+# After these faults the worker has not carried out the message.
+_WITHOUT_EFFECT: typing.Final = frozenset(_Fault) - {_Fault.NO_ANSWER}
+
 # Task phases with which a member completes the round of a phase.
 _COMPLETED_PHASES: typing.Final = {
     Phase.RESERVING:
@@ -340,8 +348,6 @@
             worker_id for worker_id, member in self._by_id.items()
             if member.phase is _TaskPhase.STAGED
         ]
-        for worker_id in staged:
-            self._by_id[worker_id].may_have_started = True
         return self._send_all(_Step.GO, RUNNING_LEASE_SECONDS, staged)
 
     def _on_all_started(self) -> list[Command]:
@@ -356,8 +362,6 @@
         self._may_be_committed = True
         self._taken_over = True
         self.phase = Phase.TAKING_OVER
-        for member in self._by_id.values():
-            member.may_have_started = True
         # No lease is extended before all members are known to be healthy.
         return self._send_all(_Step.RENEW, 0.0)
 
@@ -472,7 +476,8 @@
         results: tuple[bytes, ...] = ()
         if self._outcome is Outcome.FINISHED:
             results = tuple(item.result for item in self._by_id.values())
-        executed = any(
+        # The earlier owner of a committed gang may have sent each ``go``.
+        executed = self._taken_over or any(
             member.may_have_started for member in self._by_id.values()
         )
         return [
@@ -507,6 +512,8 @@
     def _send(self, worker_id: ids.WorkerId) -> Send:
         member = self._by_id[worker_id]
         member.sends += 1
+        if self._step is _Step.GO:
+            member.go_effects.append(_Effect.UNKNOWN)
         return Send(
             self._round_number,
             worker_id,
@@ -539,25 +546,13 @@
     def _record_answer(self, event: MessageAnswered) -> None:
         """Update the state of a member from its answer."""
         member = self._by_id[event.worker_id]
-        if self._step is _Step.GO:
-            self._record_go_answer(member, event.fault)
+        if self._step is _Step.GO and event.fault in _WITHOUT_EFFECT:
+            member.go_effects[-1] = _Effect.NONE
         if event.task is not None and event.fault is None:
             member.phase = event.task.phase
             member.checkpoint = event.task.checkpoint
             member.result = event.task.result or b''
 
-    def _record_go_answer(
-        self,
-        member: _Member,
-        fault: workers.WorkerFault | None,
-    ) -> None:
-        if fault is _Fault.NO_ANSWER:
-            member.go_unanswered = True
-        elif fault is not None and not member.go_unanswered:
-            # After a takeover the member may have started regardless: the
-            # earlier owner may have sent a ``go`` to it.
-            member.may_have_started = self._taken_over
-
     def _may_resend(self, worker_id: ids.WorkerId) -> bool:
         if self.phase is Phase.STOPPING and self._may_be_committed:
             # An unreachable member may execute until its lease expires.
--- a/tests/jobs/test_controller.py
+++ b/tests/jobs/test_controller.py
@@ -5,6 +5,7 @@
 
 import curio
 import pytest
+import result
 
 from nutmegworks.adapters import store
 from nutmegworks.adapters import workers
@@ -23,6 +24,7 @@
 from tests.jobs import fakes
 
 STATE = record.JobState
+NOT_SENT = workers.WorkerFault.NOT_SENT
 STAGED_LEASE_SECONDS = 2.4
 RUNNING_LEASE_SECONDS = 1.2
 RENEW_INTERVAL_SECONDS = 0.3
@@ -307,6 +309,40 @@
     helpers.run(main)
 
 
+def test_worker_dies_after_a_go_that_was_sent_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A job that is not idempotent must not run twice.
+
+    The first ``go`` to each worker finds it unreachable; the next one starts
+    the task.
+    """
+    refused: set[tuple[str, int]] = set()
+    send = workers.HttpWorkerClient.send
+
+    async def send_unless_refused(self, address, order):
+        if order.step is workers.Step.GO and address not in refused:
+            refused.add(address)
+            return result.Err(workers.WorkerError(NOT_SENT))
+        return await send(self, address, order)
+
+    monkeypatch.setattr(workers.HttpWorkerClient, 'send', send_unless_refused)
+
+    async def main() -> None:
+        async with fakes.serve_cluster() as cluster:
+            await cluster.start_owner(1)
+            job_id = await cluster.accept(seconds=2.0, idempotent=False)
+            await curio.sleep(1.0)
+            assert cluster.executions()
+            dead = worker_stand_in.Faults(dead=True)
+            cluster.worker_by_id['w0'].set_faults(dead)
+            view = await cluster.wait_until_ended(job_id)
+            assert len({run.run_id for _, run in cluster.executions()}) == 1
+            assert view.state is STATE.MAY_HAVE_RUN
+
+    helpers.run(main)
+
+
 @pytest.mark.parametrize(
     'faults',
     [
--- a/tests/jobs/test_gang.py
+++ b/tests/jobs/test_gang.py
@@ -244,6 +244,8 @@
         ([FAULT.NO_ANSWER, FAULT.UNKNOWN_RUN], True),
         ([FAULT.UNKNOWN_RUN], False),
         ([FAULT.NOT_SENT] * gang.MAX_SENDS, False),
+        ([FAULT.NOT_SENT, FAULT.NO_ANSWER, FAULT.UNKNOWN_RUN], True),
+        ([FAULT.NO_ANSWER, FAULT.NOT_SENT, FAULT.NOT_SENT], True),
     ],
 )
 def test_unanswered_go_may_have_executed(faults, executed) -> None:
@@ -256,6 +258,34 @@
     assert ended.may_have_executed is executed and ended.may_be_committed
 
 
+def test_go_that_succeeds_when_resent_has_executed() -> None:
+    """A ``go`` that was not sent at first must not hide that the task runs.
+
+    Otherwise a job that is not idempotent runs again after its worker is lost.
+    """
+    machine = gang.Gang(MEMBERS[:1])
+    go = drive(machine, gang.Begin(), until=gang.Phase.STARTING)[-1]
+    go, = machine.handle(answer(go, FAULT.NOT_SENT))
+    machine.handle(answer(go))
+    assert machine.phase is gang.Phase.RUNNING
+    renewal, = machine.handle(gang.RenewalDue())
+    stop = machine.handle(answer(renewal, FAULT.UNKNOWN_RUN))[-1]
+    ended, = machine.handle(answer(stop))
+    assert ended.outcome is gang.Outcome.WORKER_LOST
+    assert ended.may_have_executed
+
+
+def test_resent_go_that_is_still_open_may_have_executed() -> None:
+    """A ``go`` may arrive after another member has stopped the gang."""
+    machine = gang.Gang(MEMBERS[:2])
+    commands = drive(machine, gang.Begin(), until=gang.Phase.STARTING)
+    first, second = commands
+    machine.handle(answer(first, FAULT.NOT_SENT))
+    stops = machine.handle(answer(second, FAULT.UNKNOWN_RUN))[1:]
+    ended = [machine.handle(answer(stop)) for stop in stops][-1][0]
+    assert ended.may_have_executed
+
+
 def test_partial_checkpoint_is_rejected() -> None:
     """A checkpoint that lacks a member must not be recorded."""
     machine = gang.Gang(MEMBERS)
