claims: an operation given up during a read is not written

What callers saw: a first attempt was refused with did-not-run, and each retry with the same key was answered in-progress and may-have-run for the rest of the hour, although nothing ran.

Cause: a batch drops the operations of callers that no longer wait before it reads the record, but not after the read. A caller whose time was over during the read was told that no write was sent (write_sent False), so its claim was not released, and then the batch wrote it. A forwarded claim has 0.5 s, a read up to 1 s.

Class: the verdict was given before the last try.

Change: the batch drops such operations after the read too. From there to the write nothing waits.

Evidence: test_operation_given_up_during_a_read_is_not_written failed before the change (the record held the claim) and passes with it. Measured: tests/claims/test_batcher.py and test_service.py pass.

--- a/src/nutmegworks/claims/batcher.py
+++ b/src/nutmegworks/claims/batcher.py
@@ -228,7 +228,7 @@
         for attempt in range(MAX_BATCH_ATTEMPTS):
             if attempt > 1:
                 await curio.sleep(CONFLICT_BACKOFF_SECONDS * 2**(attempt - 2))
-            batch = [item for item in batch if not item.cancelled]
+            batch = _remaining(batch)
             if not batch or await self._try_batch(slot, batch):
                 return
         await self._fail(batch)
@@ -242,6 +242,8 @@
         if cached is None:
             await self._fail(batch)
             return True
+        # A caller that gave up during the read was told that nothing was sent.
+        batch = _remaining(batch)
         updated, replies = _apply(cached.value, batch)
         if updated is cached.value:
             age = self._clock() - cached.read_at
@@ -334,6 +336,10 @@
             )
 
 
+def _remaining(batch: list[_PendingOperation]) -> list[_PendingOperation]:
+    return [item for item in batch if not item.cancelled]
+
+
 def _max_cache_age(batch: list[_PendingOperation]) -> float:
     for item in batch:
         if isinstance(item.operation, record.LookUpOperation):
--- a/tests/claims/test_batcher.py
+++ b/tests/claims/test_batcher.py
@@ -163,6 +163,22 @@
     run(scenario)
 
 
+def test_operation_given_up_during_a_read_is_not_written() -> None:
+    """A claim reported as not sent must not block its key afterwards."""
+
+    async def scenario(backing, shard) -> None:
+        backing.delay = 0.1
+        given_up = await claim(shard, operations.claim_operation('a'), 0.05)
+        assert given_up.status is record.Status.STORE_UNAVAILABLE
+        assert not given_up.write_sent
+        await curio.sleep(0.4)
+        assert backing.peek(RECORD_KEY) is None
+        other = operations.claim_operation('b', attempt_number=2)
+        assert (await claim(shard, other)).status is record.Status.GRANTED
+
+    run(scenario)
+
+
 def test_outcome_survives_an_outage(monkeypatch) -> None:
     """An outcome must be stored once the store is available again."""
     monkeypatch.setattr(batcher, 'STORE_RETRY_SECONDS', 0.02)
