peers: a claim whose connection broke is not sent again

Also: if the preferred daemon was dead, every refusal during an outage of the store said may-have-run.

Cause: after any failure on an idle connection, time-outs included, the peer client sent the message again and returned the second reply only. A claim that the preferred daemon was still writing was answered "store unavailable, no write sent" to the second send, and was not released. An error did not say whether any byte was sent, so the forwarder assumed that some were.

Class: several tries of one call become one verdict, and the last one wins.

Change: PeerError.effect combines all sends with call_effect.combine. Claims are sent once (may_resend False); if that is not answered, the daemon applies the claim itself with the same attempt id, as before. Heartbeats, pulls and offers are still sent again: each of them only raises a generation or a sequence, and the reply to the second send is complete.

--- a/src/nutmegworks/daemon/forwarder.py
+++ b/src/nutmegworks/daemon/forwarder.py
@@ -13,6 +13,7 @@
 from nutmegworks.model import ids
 from nutmegworks.peers import client as peer_client
 from nutmegworks.peers import service as peer_service
+from nutmegworks.policy import call_effect
 
 CLAIM_PATH: typing.Final = '/peer/claims'
 
@@ -52,14 +53,15 @@
             ForwardedOperation(operation),
             record.Reply,
             timeout=timeout,
+            # The reply to a second send does not tell whether a write of the
+            # first one is still open.
+            may_resend=False,
         )
         if isinstance(answer, result.Ok):
             return answer
-        # The peer client does not report whether any byte was sent, so the
-        # operation may have arrived.
-        return result.Err(
-            forwarding.ForwardError(answer.err_value.detail, True)
-        )
+        error = answer.err_value
+        sent = error.effect is call_effect.Effect.UNKNOWN
+        return result.Err(forwarding.ForwardError(error.detail, sent))
 
 
 def register(
--- a/src/nutmegworks/peers/client.py
+++ b/src/nutmegworks/peers/client.py
@@ -12,6 +12,7 @@
 from nutmegworks.net import message
 from nutmegworks.net import pool
 from nutmegworks.peers import authentication
+from nutmegworks.policy import call_effect
 
 CALL_TIMEOUT_SECONDS: typing.Final = 1.0
 
@@ -21,7 +22,7 @@
 class PeerFault(enum.Enum):
     """Why a message has no valid reply.
 
-    REFUSED means that the peer is reachable but did not process the message.
+    REFUSED means that the peer is reachable but sent no usable reply.
     """
 
     UNREACHABLE = 'unreachable'
@@ -31,17 +32,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerError:
-    """A message without a valid reply."""
+    """A message without a valid reply.
+
+    :param effect: whether the peer may have processed any send of the message.
+    """
 
     fault: PeerFault
     detail: str
+    effect: call_effect.Effect = call_effect.Effect.UNKNOWN
 
 
 class PeerClient:
     """Sends messages to other daemons.
 
-    A message may be sent twice, so every message must be safe to repeat.
-
     :ivar calls: messages sent.
     :ivar bytes_sent: bytes of request bodies sent.
     :ivar bytes_received: bytes of response bodies received.
@@ -69,38 +72,34 @@
         reply_type: type[_Reply],
         *,
         timeout: float | None = None,
+        may_resend: bool = True,
     ) -> result.Result[_Reply, PeerError]:
         """Send a message and return its reply.
 
-        :param timeout: seconds; the client's default if None.
+        :param timeout: seconds for each send; the client's default if None.
+        :param may_resend: whether a message that fails on an idle connection
+            is sent again. The reply is then only about the second send.
         """
         body = msgspec.msgpack.encode(value)
         mac = authentication.compute_mac(self._key, path, body)
         headers = {authentication.MAC_HEADER: mac}
         request = message.Request('POST', path, headers, body)
-        answer = await self._exchange(
-            address, request, timeout or self._timeout
+        effective_timeout = timeout or self._timeout
+        answer = await self._send(
+            address, request, effective_timeout, fresh=False
         )
-        if isinstance(answer, result.Err):
-            error = answer.err_value
-            return _error(
-                PeerFault.UNREACHABLE, f'{error.fault.value}: {error.detail}'
+        errors = _errors(answer)
+        if may_resend and errors and not errors[0].first_use:
+            # An idle connection may have stopped working unnoticed, so a
+            # failure on it does not show that the peer is unreachable.
+            answer = await self._send(
+                address, request, effective_timeout, fresh=True
             )
+            errors += _errors(answer)
+        if isinstance(answer, result.Err):
+            return result.Err(_unreachable(errors))
         return self._decode(answer.ok_value, mac, reply_type)
 
-    async def _exchange(
-        self,
-        address: client.Address,
-        request: message.Request,
-        timeout: float,
-    ) -> result.Result[message.Response, client.ExchangeError]:
-        answer = await self._send(address, request, timeout, fresh=False)
-        if isinstance(answer, result.Ok) or answer.err_value.first_use:
-            return answer
-        # An idle connection may have stopped working unnoticed, so a failure
-        # on it does not show that the peer is unreachable.
-        return await self._send(address, request, timeout, fresh=True)
-
     async def _send(
         self,
         address: client.Address,
@@ -136,6 +135,27 @@
             return _error(PeerFault.REFUSED, str(error))
 
 
+def _errors(
+    answer: result.Result[message.Response, client.ExchangeError],
+) -> list[client.ExchangeError]:
+    return [answer.err_value] if isinstance(answer, result.Err) else []
+
+
+def _unreachable(errors: typing.Sequence[client.ExchangeError]) -> PeerError:
+    """Return the error of a message each of whose sends failed."""
+    detail = '; sent again: '.join(
+        f'{error.fault.value}: {error.detail}' for error in errors
+    )
+    effect = call_effect.combine(_effect(error) for error in errors)
+    return PeerError(PeerFault.UNREACHABLE, detail, effect)
+
+
+def _effect(error: client.ExchangeError) -> call_effect.Effect:
+    if error.may_have_reached_peer:
+        return call_effect.Effect.UNKNOWN
+    return call_effect.Effect.NONE
+
+
 def _error(fault: PeerFault, detail: str) -> result.Err[PeerError]:
     return result.Err(PeerError(fault, detail))
 
--- a/tests/peers/test_service.py
+++ b/tests/peers/test_service.py
@@ -8,6 +8,7 @@
 from nutmegworks.peers import client
 from nutmegworks.peers import messages
 from nutmegworks.peers import service
+from nutmegworks.policy import call_effect
 from tests import helpers
 
 KEY = b'sixteen bytes or more'
@@ -120,3 +121,38 @@
             assert count == 3
 
     helpers.run(main)
+
+
+def test_effect_of_a_message_covers_each_send() -> None:
+    """A refused connection must not hide that the first send arrived."""
+
+    async def main() -> None:
+        genuine = make_service()
+        received = 0
+
+        async def breaking(request: message.Request) -> message.Response:
+            nonlocal received
+            received += 1
+            if received == 2:
+                await listener.drain(limit=0.0)
+                raise server.AbortConnection()
+            return await genuine.handle(request)
+
+        listener = server.Server(breaking)
+        await listener.start('127.0.0.1', 0)
+        caller = client.PeerClient(KEY)
+
+        async def call() -> result.Result:
+            return await caller.call(
+                listener.address, messages.PULL_PATH, messages.Pull(3),
+                messages.OfferReply
+            )
+
+        assert (await call()).is_ok()
+        lost = (await call()).err_value
+        assert lost.fault is client.PeerFault.UNREACHABLE
+        assert lost.effect is call_effect.Effect.UNKNOWN
+        assert received == 2 and caller.calls == 3
+        assert (await call()).err_value.effect is call_effect.Effect.NONE
+
+    helpers.run(main)
