claims: a failed read does not hide a claim that was seen before

What callers saw: did-not-run for a first attempt while another attempt with the same key was granted and running. Two ways to it: the read that was to confirm an old copy of the record failed; or the key expired while the first attempt waited for the other one. Both need attempts that overlap, such as a first one that is delayed on its way or in the queue.

Cause: a claim is applied several times (cached and read record, preferred and own daemon, claim and look-ups), and the refusal was made from the last reply. That one carried neither the claim that an earlier reply had shown nor, after a look-up, an earlier unconfirmed write; without them, attempt number 1 means did-not-run.

Class: several tries of one call become one verdict, and the last one wins.

Change: replies.after joins an earlier and a later reply of one operation and keeps the claim and the unconfirmed write of either; the batcher, the forwarding and the polling use it. A refusal says did-not-run for a first attempt only if no claim was seen.

Evidence: failed before the change, pass with it: test_first_attempt_beside_a_known_other_may_have_run and test_first_attempt_that_waited_for_another_may_have_run (did-not-run).

--- a/src/nutmegworks/claims/batcher.py
+++ b/src/nutmegworks/claims/batcher.py
@@ -13,6 +13,7 @@
 from nutmegworks.adapters import store
 from nutmegworks.claims import key as claim_key
 from nutmegworks.claims import record
+from nutmegworks.claims import replies as claim_replies
 from nutmegworks.model import ids
 
 # At most 40 writes/s per shard and 320/s for the 8 shards; the store supports
@@ -56,6 +57,7 @@
         for operations whose reply nobody waits for.
     :ivar write_unresolved: whether a write of it may have taken effect without
         being confirmed.
+    :ivar seen_claim: the claim that the key had when it was last applied.
     :ivar cancelled: whether the caller no longer waits for the reply.
     """
 
@@ -70,9 +72,18 @@
         self.due_at = due_at
         self.retry_in_outage = retry_in_outage
         self.write_unresolved = False
+        self.seen_claim: record.Claim | None = None
         self.cancelled = False
         self.reply = curio.Result()
 
+    def unconfirmed(self) -> record.Reply:
+        """Return the reply if the store did not answer in time."""
+        return record.Reply(
+            record.Status.STORE_UNAVAILABLE,
+            claim=self.seen_claim,
+            write_sent=self.write_unresolved,
+        )
+
 
 class _CachedRecord:
     """A copy of a record as of one revision of the store.
@@ -144,12 +155,7 @@
             reply = await curio.ignore_after(timeout, pending.reply.unwrap)
         finally:
             pending.cancelled = True
-        if reply is not None:
-            return reply
-        return record.Reply(
-            record.Status.STORE_UNAVAILABLE,
-            write_sent=pending.write_unresolved
-        )
+        return pending.unconfirmed() if reply is None else reply
 
     async def enqueue(self, operation: record.Operation) -> None:
         """Queue an operation without waiting for its reply.
@@ -328,12 +334,7 @@
                 item.due_at = self._clock() + STORE_RETRY_SECONDS
                 await self._add(item)
                 continue
-            await item.reply.set_value(
-                record.Reply(
-                    record.Status.STORE_UNAVAILABLE,
-                    write_sent=item.write_unresolved,
-                )
-            )
+            await item.reply.set_value(item.unconfirmed())
 
 
 def _remaining(batch: list[_PendingOperation]) -> list[_PendingOperation]:
@@ -355,6 +356,7 @@
     updated = current
     for item in batch:
         updated, reply = record.apply(updated, item.operation)
+        item.seen_claim = reply.claim or item.seen_claim
         replies.append(reply)
     return updated, replies
 
@@ -376,8 +378,8 @@
     batch: list[_PendingOperation], replies: list[record.Reply]
 ) -> None:
     for item, reply in zip(batch, replies):
-        if item.write_unresolved and reply.status not in _WRITE_STATUSES:
-            reply = msgspec.structs.replace(reply, write_sent=True)
+        if reply.status not in _WRITE_STATUSES:
+            reply = claim_replies.after(item.unconfirmed(), reply)
         await item.reply.set_value(reply)
 
 
--- a/src/nutmegworks/claims/replies.py
+++ b/src/nutmegworks/claims/replies.py
@@ -88,9 +88,12 @@
         reply.status,
         (verdict.Reason.INTERNAL, f'claim: {reply.status.value}', None),
     )
-    # Before a first attempt no other can have run. An unconfirmed write may
-    # still take effect and leave the key claimed.
-    never_ran = attempt_number == 1 and not reply.write_sent
+    # Before a first attempt no other can have run, unless the key is known to
+    # have been claimed. An unconfirmed write may still take effect and leave
+    # the key claimed.
+    never_ran = (
+        attempt_number == 1 and not reply.write_sent and reply.claim is None
+    )
     build = verdict.did_not_run if never_ran else verdict.may_have_run
     return build(reason, detail, retry_after=retry_after)
 
@@ -149,9 +152,16 @@
     return reply.status in (record.Status.FINISHED, record.Status.EXPIRED)
 
 
-def with_write_sent(reply: record.Reply) -> record.Reply:
-    """Return the reply, marked as having an unconfirmed write."""
-    return msgspec.structs.replace(reply, write_sent=True)
+def after(earlier: record.Reply, reply: record.Reply) -> record.Reply:
+    """Return the reply to an operation that was applied more than once.
+
+    It keeps what an earlier reply says of a claim and of unconfirmed writes.
+    """
+    return msgspec.structs.replace(
+        reply,
+        claim=reply.claim or earlier.claim,
+        write_sent=reply.write_sent or earlier.write_sent,
+    )
 
 
 __all__ = (
@@ -160,11 +170,11 @@
     'IN_PROGRESS',
     'KEY_REUSED',
     'RETRY_AFTER_SECONDS',
+    'after',
     'epoch_ahead',
     'is_final',
     'is_free',
     'is_held_by',
     'is_other_body',
     'refusal',
-    'with_write_sent',
 )
--- a/src/nutmegworks/claims/service.py
+++ b/src/nutmegworks/claims/service.py
@@ -173,7 +173,8 @@
                 attempt, min(timeout, CLAIM_TIMEOUT_SECONDS)
             )
             if reply.status is record.Status.IN_PROGRESS:
-                reply = await self._poll(attempt, deadline)
+                polled = await self._poll(attempt, deadline)
+                reply = replies.after(reply, polled)
             return await self._to_outcome(reply, attempt.operation)
         finally:
             await self._release_unless_granted(attempt)
@@ -303,9 +304,9 @@
         remaining = max(0.0, timeout - (self._clock() - started))
         local = self._batcher_by_shard[operation.shard]
         local_reply = await local.submit(operation, timeout=remaining)
-        if reply is None or not reply.write_sent:
+        if reply is None:
             return local_reply
-        return replies.with_write_sent(local_reply)
+        return replies.after(reply, local_reply)
 
     async def _forward(
         self,
--- a/tests/claims/test_service.py
+++ b/tests/claims/test_service.py
@@ -5,6 +5,7 @@
 import result
 
 from nutmegworks.claims import answers
+from nutmegworks.claims import batcher
 from nutmegworks.claims import forwarder
 from nutmegworks.claims import key
 from nutmegworks.claims import preferred
@@ -87,9 +88,10 @@
     )
 
 
-async def wait(daemon, body=BODY, timeout=2.0):
+async def wait(daemon, body=BODY, timeout=2.0, *, first=False):
+    number = 1 if first else 2
     return await daemon.claim_or_wait(
-        KEY, 'north', body, attempt_number=2, timeout=timeout
+        KEY, 'north', body, attempt_number=number, timeout=timeout
     )
 
 
@@ -147,6 +149,49 @@
     run(scenario)
 
 
+def test_first_attempt_beside_a_known_other_may_have_run() -> None:
+    """A failed read must not hide a claim that an earlier read has shown.
+
+    The caller's second attempt was granted before its delayed first one.
+    """
+
+    async def scenario(backing, messages, one, two) -> None:
+        assert (await claim(one, first=False)).is_ok()
+        await curio.sleep(2 * batcher.LOOK_UP_MAX_AGE_SECONDS)
+        backing.down = True
+        delayed = await claim(one)
+        assert delayed.err_value.reason is verdict.Reason.STORE_UNAVAILABLE
+        assert delayed.err_value.verdict is MAY_HAVE_RUN
+
+    run(scenario)
+
+
+def test_first_attempt_that_waited_for_another_may_have_run() -> None:
+    """A key that expires while another attempt holds it may have run."""
+
+    async def scenario(backing, messages, one, two) -> None:
+        assert (await claim(one, first=False)).is_ok()
+        waiting = await curio.spawn(lambda: wait(two, first=True))
+        await curio.sleep(0.05)
+        one._wall_clock = lambda: 10.0 * (EPOCH + key.EPOCH_SLOTS)
+        assert (await claim(one, text=_same_shard_an_hour_later())).is_ok()
+        refused = (await waiting.join()).err_value
+        assert refused.reason is verdict.Reason.KEY_EXPIRED
+        assert refused.verdict is MAY_HAVE_RUN
+
+    run(scenario)
+
+
+def _same_shard_an_hour_later() -> str:
+    """Return a key whose claim replaces the record of ``KEY``."""
+    shard = key.parse(KEY, 'north').unwrap().shard
+    texts = (f'{EPOCH + key.EPOCH_SLOTS}-{number}' for number in range(99))
+    return next(
+        text for text in texts
+        if key.parse(text, 'north').unwrap().shard == shard
+    )
+
+
 def test_unconfirmed_claim_is_not_granted_and_is_released(
     monkeypatch,
 ) -> None:
@@ -258,14 +303,8 @@
 
     async def scenario(backing, messages, one, two) -> None:
         granted = await claim(one)
-        later = f'{EPOCH + key.EPOCH_SLOTS}-'
         two._wall_clock = lambda: 10.0 * (EPOCH + key.EPOCH_SLOTS)
-        shard = key.parse(KEY, 'north').unwrap().shard
-        same_shard = next(
-            text for text in (f'{later}{number}' for number in range(99))
-            if key.parse(text, 'north').unwrap().shard == shard
-        )
-        assert (await claim(two, text=same_shard)).is_ok()
+        assert (await claim(two, text=_same_shard_an_hour_later())).is_ok()
         expired = await claim(two, first=False)
         assert expired.err_value.reason is verdict.Reason.KEY_EXPIRED
         assert expired.err_value.verdict is MAY_HAVE_RUN
