jobs: a failed call does not hide that a job or its key is stored

What callers saw: did-not-run for a submission that declares itself the first attempt, although the job was stored and runs. The caller's second attempt has to overtake the first one, and the store has to fail in between.

Cause: a write that fails because the record exists is followed by a read. If that failed, its "unavailable" replaced what the write had shown; if it was stale, the caller got a conflict. Likewise the failed creation of a record hid that another attempt had bound the key. Both are certain for a first attempt.

Class: several tries of one call become one verdict, and the last one wins.

Change: a record that a write found and that can't be read is UNKNOWN; whether this call bound the key is part of bind_key's answer.

Evidence: failed before the change with did-not-run, pass with it: test_first_attempt_that_finds_the_job_stored_may_have_run and test_first_attempt_that_finds_the_key_bound_may_have_run. Measured: tests/jobs/test_service.py and test_repository.py pass.

--- a/src/nutmegworks/jobs/repository.py
+++ b/src/nutmegworks/jobs/repository.py
@@ -44,6 +44,17 @@
     revision: ids.StoreRevision
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Binding:
+    """The binding of an idempotency key.
+
+    :param is_new: whether this call has bound the key.
+    """
+
+    record: record.KeyRecord
+    is_new: bool
+
+
 def _new_write_id() -> str:
     return uuid.uuid4().hex
 
@@ -80,14 +91,18 @@
         self,
         job_id: ids.JobId,
         requested: record.KeyRecord,
-    ) -> result.Result[record.KeyRecord, _Error]:
-        """Bind an idempotency key, or return its existing binding."""
+    ) -> result.Result[Binding, _Error]:
+        """Bind an idempotency key, or return its existing binding.
+
+        :return: CONFLICT and UNAVAILABLE mean that the key was not bound by
+            this call and is not known to be bound.
+        """
         key = record.KEY_PREFIX + job_id
         existing = await self.get_key(job_id)
         if isinstance(existing, result.Err):
             return existing
         if existing.ok_value is not None:
-            return result.Ok(existing.ok_value)
+            return result.Ok(Binding(existing.ok_value, False))
         bound = msgspec.structs.replace(
             requested, write_id=self._new_write_id()
         )
@@ -99,10 +114,11 @@
             is_own=lambda value: _decode_key(value).write_id == bound.write_id,
         )
         if isinstance(answer, result.Ok):
-            return result.Ok(bound)
+            return result.Ok(Binding(bound, True))
         if answer.err_value.fault is not store.StoreFault.CONFLICT:
             return answer
-        return (await self.get_key(job_id)).and_then(_require_value)
+        other = _found_by_write(await self.get_key(job_id))
+        return other.map(lambda found: Binding(found, False))
 
     async def get_key(
         self,
@@ -118,14 +134,16 @@
         self,
         job: record.JobRecord,
     ) -> result.Result[StoredJob, _Error]:
-        """Write a new record, or return the existing one."""
+        """Write a new record, or return the existing one.
+
+        :return: UNKNOWN also if the record exists and can't be read.
+        """
         answer = await self._put(job, store.ABSENT)
         if isinstance(answer, result.Ok):
             return answer
         if answer.err_value.fault is not store.StoreFault.CONFLICT:
             return answer
-        existing = await self.get(job.shard_id, job.job_id)
-        return existing.and_then(_require_value)
+        return _found_by_write(await self.get(job.shard_id, job.job_id))
 
     async def update(
         self,
@@ -247,11 +265,20 @@
         return answer.map(lambda entry: (entry and entry.value) or b'')
 
 
-def _require_value(value: typing.Any) -> result.Result[typing.Any, _Error]:
-    if value is None:
-        # The key was deleted between the conflict and the second read.
-        return result.Err(_Error(store.StoreFault.CONFLICT, 'deleted'))
-    return result.Ok(value)
+def _found_by_write(
+    answer: result.Result[typing.Any, _Error],
+) -> result.Result[typing.Any, _Error]:
+    """Return the value whose presence made a write fail.
+
+    That it exists remains known if the read fails or is stale, so the outcome
+    of the caller's request is then unknown.
+    """
+    if isinstance(answer, result.Err):
+        detail = f'exists; reading it failed: {answer.err_value.detail}'
+        return result.Err(_Error(store.StoreFault.UNKNOWN, detail))
+    if answer.ok_value is None:
+        return result.Err(_Error(store.StoreFault.UNKNOWN, 'a read is stale'))
+    return answer
 
 
 def _decode_key(value: bytes) -> record.KeyRecord:
@@ -283,4 +310,4 @@
     return Batch(tuple(jobs), last_key, page.revision)
 
 
-__all__ = ('Batch', 'JobRepository', 'PAGE_LIMIT', 'StoredJob')
+__all__ = ('Batch', 'Binding', 'JobRepository', 'PAGE_LIMIT', 'StoredJob')
--- a/src/nutmegworks/jobs/service.py
+++ b/src/nutmegworks/jobs/service.py
@@ -99,15 +99,18 @@
         if shard_id is None:
             return result.Err(_never_fits(spec))
         requested = record.KeyRecord(team_id, key, shard_id, body_digest, '')
-        binding = await self._jobs.bind_key(job_id, requested)
-        if isinstance(binding, result.Err):
-            return result.Err(_refusal(binding.err_value, first_attempt))
-        if not _same_request(binding.ok_value, requested):
+        bound = await self._jobs.bind_key(job_id, requested)
+        if isinstance(bound, result.Err):
+            return result.Err(_refusal(bound.err_value, first_attempt))
+        binding = bound.ok_value
+        if not _same_request(binding.record, requested):
             return result.Err(_key_reused())
-        job = self._new_record(job_id, binding.ok_value, work_class, spec)
+        job = self._new_record(job_id, binding.record, work_class, spec)
         stored = await self._jobs.create(job)
         if isinstance(stored, result.Err):
-            return result.Err(_refusal(stored.err_value, first_attempt))
+            # The attempt that bound the key may have created the record.
+            is_alone = first_attempt and binding.is_new
+            return result.Err(_refusal(stored.err_value, is_alone))
         return result.Ok(job_id)
 
     def _new_record(
--- a/tests/jobs/test_service.py
+++ b/tests/jobs/test_service.py
@@ -5,13 +5,16 @@
 import curio
 import pytest
 
+from nutmegworks.adapters import store
 from nutmegworks.jobs import record
+from nutmegworks.jobs import repository
 from nutmegworks.jobs import service
 from nutmegworks.model import ids
 from nutmegworks.model import verdict
 from tests import builders
 from tests import helpers
 from tests.jobs import fakes
+from tests import memory_store
 
 STATE = record.JobState
 TEAM = ids.TeamId('north')
@@ -81,6 +84,68 @@
     helpers.run(main)
 
 
+class DownAfterConflict(memory_store.MemoryStore):
+    """A store that goes down after it has refused a write."""
+
+    async def put(self, key, value, *, expected, lease_id=None):
+        answer = await super().put(key, value, expected=expected)
+        conflict = store.StoreFault.CONFLICT
+        if answer.is_err() and answer.err_value.fault is conflict:
+            self.down = True
+        return answer
+
+
+def make_service(backend: store.Store, shard: str = 'amman-north'):
+    return service.JobService(
+        repository.JobRepository(backend),
+        choose_shard=lambda spec: ids.ShardId(shard) if shard else None,
+    )
+
+
+async def accept_by(
+    jobs: service.JobService,
+    *,
+    first_attempt: bool = False,
+):
+    return await jobs.accept(
+        TEAM,
+        builders.work_class(),
+        builders.job_spec(),
+        KEY,
+        'digest',
+        first_attempt=first_attempt,
+    )
+
+
+def test_first_attempt_that_finds_the_job_stored_may_have_run() -> None:
+    """A failed read must not hide that the write found the job stored.
+
+    The caller's second attempt overtook the first one.
+    """
+
+    async def main() -> None:
+        backend = DownAfterConflict()
+        assert (await accept_by(make_service(backend))).is_ok()
+        late = await accept_by(make_service(backend), first_attempt=True)
+        assert backend.down
+        assert late.err_value.verdict is verdict.Verdict.MAY_HAVE_RUN
+
+    helpers.run(main)
+
+
+def test_first_attempt_that_finds_the_key_bound_may_have_run() -> None:
+    """A refused write must not hide that another attempt bound the key."""
+
+    async def main() -> None:
+        backend = memory_store.MemoryStore()
+        assert (await accept_by(make_service(backend))).is_ok()
+        backend.faults.append(memory_store.Fault.DOWN)
+        late = await accept_by(make_service(backend), first_attempt=True)
+        assert late.err_value.verdict is verdict.Verdict.MAY_HAVE_RUN
+
+    helpers.run(main)
+
+
 def test_waiting_uses_few_reads_and_ends_on_stop() -> None:
     """Waiting callers must not overload the store or delay a stop."""
 
