jobs: a retry of a job that no longer fits is not "did not run"

What callers saw: 422 never-fits and did-not-run for a second attempt whose first one had been stored (its answer was lost) and ran. The worker list has to change in between, for example because the largest worker left.

Cause: accept chose a shard before it read the key, and refused each attempt as did-not-run if no failure domain had room for the shape.

Class: two attempts of a client become one verdict, and the last one wins.

Change: without a shard, only a declared first attempt is refused with did-not-run. For any other one the key is read: a bound one gives the job, as docs/caller.md promises; else the refusal says may-have-run.

Evidence: test_job_that_no_longer_fits_is_still_accepted failed before the change with did-not-run and passes with it. Measured: tests/jobs/test_service.py and test_repository.py pass.

--- a/src/nutmegworks/jobs/service.py
+++ b/src/nutmegworks/jobs/service.py
@@ -6,6 +6,7 @@
 import typing
 
 import curio
+import msgspec
 import result
 
 from nutmegworks.adapters import store
@@ -95,13 +96,12 @@
             this key before.
         """
         job_id = record.job_id(team_id, key)
-        shard_id = self._choose_shard(spec)
-        if shard_id is None:
-            return result.Err(_never_fits(spec))
-        requested = record.KeyRecord(team_id, key, shard_id, body_digest, '')
-        bound = await self._jobs.bind_key(job_id, requested)
+        requested = record.KeyRecord(
+            team_id, key, ids.ShardId(''), body_digest, ''
+        )
+        bound = await self._bind(job_id, requested, spec, first_attempt)
         if isinstance(bound, result.Err):
-            return result.Err(_refusal(bound.err_value, first_attempt))
+            return bound
         binding = bound.ok_value
         if not _same_request(binding.record, requested):
             return result.Err(_key_reused())
@@ -113,6 +113,43 @@
             return result.Err(_refusal(stored.err_value, is_alone))
         return result.Ok(job_id)
 
+    async def _bind(
+        self,
+        job_id: ids.JobId,
+        requested: record.KeyRecord,
+        spec: work.JobSpec,
+        first_attempt: bool,
+    ) -> result.Result[repository.Binding, _Error]:
+        """Bind a key to the shard for its job, or return its binding.
+
+        :param requested: without a shard.
+        """
+        shard_id = self._choose_shard(spec)
+        if shard_id is None:
+            return await self._find_binding(job_id, spec, first_attempt)
+        with_shard = msgspec.structs.replace(requested, shard_id=shard_id)
+        bound = await self._jobs.bind_key(job_id, with_shard)
+        return bound.map_err(lambda error: _refusal(error, first_attempt))
+
+    async def _find_binding(
+        self,
+        job_id: ids.JobId,
+        spec: work.JobSpec,
+        first_attempt: bool,
+    ) -> result.Result[repository.Binding, _Error]:
+        """Return the binding of a job that fits in no failure domain now.
+
+        It may have fitted when an earlier attempt was accepted.
+        """
+        if first_attempt:
+            return result.Err(_never_fits(spec, verdict.did_not_run))
+        found = await self._jobs.get_key(job_id)
+        if isinstance(found, result.Err):
+            return result.Err(_refusal(found.err_value, first_attempt))
+        if found.ok_value is None:
+            return result.Err(_never_fits(spec, verdict.may_have_run))
+        return result.Ok(repository.Binding(found.ok_value, False))
+
     def _new_record(
         self,
         job_id: ids.JobId,
@@ -327,8 +364,11 @@
     )
 
 
-def _never_fits(spec: work.JobSpec) -> _Error:
-    return verdict.did_not_run(
+def _never_fits(
+    spec: work.JobSpec,
+    refuse: typing.Callable[[verdict.Reason, str], _Error],
+) -> _Error:
+    return refuse(
         verdict.Reason.NEVER_FITS,
         f'{spec.shape} fits in no failure domain',
     )
--- a/tests/jobs/test_service.py
+++ b/tests/jobs/test_service.py
@@ -146,6 +146,23 @@
     helpers.run(main)
 
 
+def test_job_that_no_longer_fits_is_still_accepted() -> None:
+    """A retry must not be told that an accepted job did not run."""
+
+    async def main() -> None:
+        backend = memory_store.MemoryStore()
+        without_room = make_service(backend, '')
+        first = await accept_by(without_room, first_attempt=True)
+        assert first.err_value.verdict is verdict.Verdict.DID_NOT_RUN
+        retry = await accept_by(without_room)
+        assert retry.err_value.reason is verdict.Reason.NEVER_FITS
+        assert retry.err_value.verdict is verdict.Verdict.MAY_HAVE_RUN
+        accepted = await accept_by(make_service(backend))
+        assert await accept_by(without_room) == accepted
+
+    helpers.run(main)
+
+
 def test_waiting_uses_few_reads_and_ends_on_stop() -> None:
     """Waiting callers must not overload the store or delay a stop."""
 
