jobs: a stale read does not say that a job did not run

What callers saw: 404 and did-not-run from GET and DELETE /v1/jobs/<id> for an accepted job, also in the middle of a wait that had seen it running, when the store answered from an earlier state (`stale_reads` of the fault model).

Cause: a job that one read lacks was "no such job, did-not-run". A wait reads the job several times and answered by the last read; if that one failed, what the earlier reads had shown was dropped.

Class: several tries of one call become one verdict, and the last one wins.

Change: a wait answers with the latest version that it has read. A job that the store lacks is refused with may-have-run, since no read proves that it does not exist; so is a job of another team, which must not be told apart.

Evidence: test_stale_read_does_not_hide_a_job_that_was_seen failed before the change (404, did-not-run) and passes with it.

--- a/src/nutmegworks/entry/jobs.py
+++ b/src/nutmegworks/entry/jobs.py
@@ -262,7 +262,7 @@
             return owner
         if owner.ok_value != team.ok_value.team_id:
             # A team must not learn whether a job of another team exists.
-            return _refuse(verdict.Reason.NOT_FOUND, 'no such job')
+            return result.Err(job_service.not_found())
         return result.Ok(None)
 
 
--- a/src/nutmegworks/jobs/service.py
+++ b/src/nutmegworks/jobs/service.py
@@ -192,23 +192,23 @@
         :param seconds: at most MAX_WAIT_SECONDS.
         """
         deadline = time.monotonic() + min(seconds, MAX_WAIT_SECONDS)
+        latest: repository.StoredJob | None = None
         while True:
             read_result = await self._read(job_id)
             remaining = deadline - time.monotonic()
-            ended = read_result.is_ok() and read_result.ok_value.record.final
+            latest = _latest(latest, read_result)
+            ended = latest is not None and latest.record.final
             if ended or remaining <= 0 or self._stopping.is_set():
                 break
-            if read_result.is_ok():
-                await self._watch_until_stopping(
-                    read_result.ok_value, remaining
-                )
-            elif read_result.err_value.reason is verdict.Reason.NOT_FOUND:
+            if latest is not None and read_result.is_ok():
+                await self._watch_until_stopping(latest, remaining)
+            elif latest is None and _is_not_found(read_result.err_value):
                 break
             else:
                 await curio.sleep(min(remaining, RETRY_SECONDS))
-        if isinstance(read_result, result.Err):
-            return read_result
-        return await self._view(read_result.ok_value.record)
+        if latest is not None:
+            return await self._view(latest.record)
+        return result.Err(read_result.err_value)
 
     async def cancel(
         self,
@@ -276,7 +276,7 @@
         if isinstance(answer, result.Err):
             return result.Err(_refusal(answer.err_value, False))
         if answer.ok_value is None:
-            return result.Err(_not_found())
+            return result.Err(not_found())
         return result.Ok(answer.ok_value)
 
     async def _get_shard_id(
@@ -290,7 +290,7 @@
         if isinstance(answer, result.Err):
             return result.Err(_refusal(answer.err_value, False))
         if answer.ok_value is None:
-            return result.Err(_not_found())
+            return result.Err(not_found())
         if len(self._shard_id_by_job) >= MAX_CACHED_SHARDS:
             self._shard_id_by_job.pop(next(iter(self._shard_id_by_job)))
         shard_id = answer.ok_value.shard_id
@@ -355,6 +355,23 @@
         return '\n'.join(lines)
 
 
+def _latest(
+    earlier: repository.StoredJob | None,
+    read_result: result.Result[repository.StoredJob, _Error],
+) -> repository.StoredJob | None:
+    """Return the latest version that was read; a later read may be stale."""
+    if isinstance(read_result, result.Err):
+        return earlier
+    current = read_result.ok_value
+    if earlier is not None and earlier.revision > current.revision:
+        return earlier
+    return current
+
+
+def _is_not_found(refusal: _Error) -> bool:
+    return refusal.reason is verdict.Reason.NOT_FOUND
+
+
 def _same_request(
     binding: record.KeyRecord,
     requested: record.KeyRecord,
@@ -405,8 +422,12 @@
     )
 
 
-def _not_found() -> _Error:
-    return verdict.did_not_run(verdict.Reason.NOT_FOUND, 'no such job')
+def not_found() -> _Error:
+    """Return the refusal of a call about a job that the store lacks.
+
+    The read may be stale, so the job may exist.
+    """
+    return verdict.may_have_run(verdict.Reason.NOT_FOUND, 'no such job')
 
 
 __all__ = (
@@ -416,4 +437,5 @@
     'JobView',
     'MAX_CANCEL_ATTEMPTS',
     'MAX_WAIT_SECONDS',
+    'not_found',
 )
--- a/tests/jobs/test_service.py
+++ b/tests/jobs/test_service.py
@@ -163,6 +163,26 @@
     helpers.run(main)
 
 
+def test_stale_read_does_not_hide_a_job_that_was_seen() -> None:
+    """A waiting caller must not be told that a running job did not run."""
+
+    async def main() -> None:
+        async with fakes.serve_cluster(count=0) as cluster:
+            job_id = (await accept(cluster)).ok_value
+            waiting = await curio.spawn(cluster.service.wait, job_id, 1.0)
+            await curio.sleep(0.2)
+            cluster.store.faults.stale_reads = 1000
+            stored = (await cluster.jobs.get(fakes.SHARD, job_id)).ok_value
+            assert stored is None
+            view = (await waiting.join()).ok_value
+            assert view.state is STATE.ACCEPTED
+            unseen = (await cluster.service.wait(job_id, 0.0)).err_value
+            assert unseen.reason is verdict.Reason.NOT_FOUND
+            assert unseen.verdict is verdict.Verdict.MAY_HAVE_RUN
+
+    helpers.run(main)
+
+
 def test_waiting_uses_few_reads_and_ends_on_stop() -> None:
     """Waiting callers must not overload the store or delay a stop."""
 
