jobs: a result that can't be read now is neither empty nor unknown

What callers saw: for a finished job with a result above 64 KiB, an empty result if the store answered from an earlier state; and may-have-run, for a job whose record says that it ran, if the store failed between two reads.

Cause: a result that one read lacked was returned as b'', and the failure of the second read replaced what the first one had shown.

Class: several tries of one call become one verdict, and the last one wins.

Change: an absent result is a stale read, since it is stored before the record that refers to it and is never deleted. The refusal says RAN, as for requests.

Evidence: test_job_whose_result_is_not_readable_has_run failed before the change, 2 of 2 (may-have-run; Ok with an empty result), and passes with it. Measured: tests/jobs/test_service.py and test_controller.py pass, without test_contending_owners_end_every_job, which was not run.

--- a/src/nutmegworks/jobs/repository.py
+++ b/src/nutmegworks/jobs/repository.py
@@ -262,7 +262,15 @@
         if not job.result_key:
             return result.Ok(job.result or b'')
         answer = await self._store.get(job.result_key)
-        return answer.map(lambda entry: (entry and entry.value) or b'')
+        if isinstance(answer, result.Err):
+            return answer
+        entry = answer.ok_value
+        if entry is None or entry.value is None:
+            # It was stored before the record that refers to it.
+            return result.Err(
+                _Error(store.StoreFault.UNAVAILABLE, 'a read is stale')
+            )
+        return result.Ok(entry.value)
 
 
 def _found_by_write(
--- a/src/nutmegworks/jobs/service.py
+++ b/src/nutmegworks/jobs/service.py
@@ -324,7 +324,7 @@
         if job.state is _STATE.DONE:
             answer = await self._jobs.get_result(job)
             if isinstance(answer, result.Err):
-                return result.Err(_refusal(answer.err_value, False))
+                return result.Err(_result_unreachable(answer.err_value))
             value = answer.ok_value
         return result.Ok(
             JobView(
@@ -422,6 +422,15 @@
     )
 
 
+def _result_unreachable(error: store.StoreError) -> _Error:
+    return verdict.Refusal(
+        verdict.Verdict.RAN,
+        verdict.Reason.STORE_UNAVAILABLE,
+        f'the job has run; its result cannot be read now: {error.detail}',
+        RETRY_SECONDS,
+    )
+
+
 def not_found() -> _Error:
     """Return the refusal of a call about a job that the store lacks.
 
--- a/tests/jobs/test_service.py
+++ b/tests/jobs/test_service.py
@@ -183,6 +183,33 @@
     helpers.run(main)
 
 
+@pytest.mark.parametrize('down', [True, False])
+def test_job_whose_result_is_not_readable_has_run(down: bool) -> None:
+    """A failed or stale read must not turn a result into another answer."""
+
+    async def main() -> None:
+        backend = memory_store.MemoryStore()
+        jobs = repository.JobRepository(backend)
+        accepting = make_service(backend)
+        job_id = (await accept_by(accepting)).ok_value
+        stored = (await jobs.get(fakes.SHARD, job_id)).ok_value
+        for state in (STATE.COMMITTED, STATE.DONE):
+            changes = {'state': state, 'result_key': 'answers/jobs/x'}
+            stored = (await jobs.update(stored, **changes)).ok_value
+        get = backend.get
+
+        async def get_result_later(key):
+            backend.down = down and key == 'answers/jobs/x'
+            return await get(key)
+
+        backend.get = get_result_later
+        refused = (await accepting.wait(job_id, 0.0)).err_value
+        assert refused.reason is verdict.Reason.STORE_UNAVAILABLE
+        assert refused.verdict is verdict.Verdict.RAN
+
+    helpers.run(main)
+
+
 def test_waiting_uses_few_reads_and_ends_on_stop() -> None:
     """Waiting callers must not overload the store or delay a stop."""
 
