cli: a submission that may be stored is not "nothing was changed"

What operators saw: `nutmeg job submit` ended with UNAVAILABLE and "nothing was changed; try again later" when the daemon answered 503 and may-have-run, and with REFUSED and "nothing was changed" after 500 or another refusal of a repeated key.

Cause: the exit code came from the status alone. The verdict, which covers all writes of the call and all attempts with the key, was only printed.

Class: several tries of one call become one verdict, and the last one wins.

Change: a call other than GET whose refusal says may-have-run ends as UNKNOWN, as does a bare 500. Not so for reasons from which the call itself is known to have done nothing (key-reused, not-found). The remedies now speak of this call, because a repeated one may have taken effect before.

Measured: tests/cli passes.

--- a/src/nutmegworks/cli/client.py
+++ b/src/nutmegworks/cli/client.py
@@ -9,6 +9,7 @@
 import result
 import typer
 
+from nutmegworks.model import verdict
 from nutmegworks.net import client as net_client
 from nutmegworks.net import message
 from nutmegworks.net import pool
@@ -41,15 +42,23 @@
     504: ExitCode.UNKNOWN,
 }
 
+# Exit codes that say that the call changed nothing.
+_UNCHANGED: typing.Final = frozenset({ExitCode.REFUSED, ExitCode.UNAVAILABLE})
+
+# Refusals whose verdict is about a job that this call can't have changed.
+_REASONS_WITHOUT_EFFECT: typing.Final = frozenset(
+    {verdict.Reason.KEY_REUSED.value, verdict.Reason.NOT_FOUND.value}
+)
+
 _REMEDY_BY_EXIT: typing.Final = {
     ExitCode.UNAUTHENTICATED:
     'set NUTMEG_TOKEN to a token with the right to do this',
     ExitCode.CONFLICT:
     'read what changed with "nutmeg config history" and decide again',
-    ExitCode.UNAVAILABLE: 'nothing was changed; try again later',
+    ExitCode.UNAVAILABLE: 'this call changed nothing; try again later',
     ExitCode.UNKNOWN:
     'it may have taken effect; repeat it with the same --change-id or key',
-    ExitCode.REFUSED: 'nothing was changed; correct what is named above',
+    ExitCode.REFUSED: 'this call changed nothing; correct what is named above',
 }
 
 
@@ -86,7 +95,7 @@
             method, target, body, headers=headers, timeout=timeout
         )
         if response.status >= 300:
-            fail_response(response)
+            fail_response(response, changes=method != 'GET')
         return response
 
     def exchange(
@@ -143,19 +152,36 @@
     faults: list[str] = msgspec.field(default_factory=list)
 
 
-def fail_response(response: message.Response) -> typing.NoReturn:
-    """Print the error of a response and end the command."""
+def fail_response(
+    response: message.Response,
+    *,
+    changes: bool,
+) -> typing.NoReturn:
+    """Print the error of a response and end the command.
+
+    :param changes: whether the call may change something.
+    """
     code = _EXIT_BY_STATUS.get(response.status, ExitCode.REFUSED)
+    if changes and response.status == 500:
+        code = ExitCode.UNKNOWN
     try:
         body = msgspec.json.decode(response.body, type=_ErrorBody)
     except msgspec.DecodeError:
         fail(code, f'status {response.status}')
+    if changes and code in _UNCHANGED and _may_have_taken_effect(body):
+        code = ExitCode.UNKNOWN
     lines = body.faults or [body.detail or f'status {response.status}']
     parts = (body.kind, body.reason, body.verdict)
     prefix = ', '.join(part for part in parts if part)
     fail(code, *(f'{prefix}: {line}' for line in lines))
 
 
+def _may_have_taken_effect(body: _ErrorBody) -> bool:
+    if body.reason in _REASONS_WITHOUT_EFFECT:
+        return False
+    return body.verdict == verdict.Verdict.MAY_HAVE_RUN.value
+
+
 def fail(code: ExitCode, *lines: str) -> typing.NoReturn:
     """Print an error and its remedy, then exit with the code."""
     for line in lines:
