configuration: a change that may be accepted is not refused as invalid

What operators saw: 422 and exit code 3 ("refused") for a change that took effect. Its first write was not answered; before the next round the workers changed, so that the guarantees no longer fitted.

Cause: accept runs several rounds on the same head. The check of a later round ended the call with its own outcome, although a write of an earlier round was still open. Only the end of the time took that write into account.

Class: several tries of one call become one verdict, and the last one wins.

Change: a refusal counts only on a head that is later than the one an open write was to replace; a later head that lacks the change shows that no write took effect. Until then the rounds go on, and the outcome is UNKNOWN (504).

Evidence: test_change_that_may_be_accepted_is_not_refused failed before the change (INVALID) and passes with it.

--- a/src/nutmegworks/configuration/repository.py
+++ b/src/nutmegworks/configuration/repository.py
@@ -44,20 +44,38 @@
     """The state of one call of ``accept``, over several rounds.
 
     :param base: the sequence that the author of the change saw.
-    :param unresolved: whether a write with unknown outcome was sent.
+    :param unresolved_at: revision of the head that the latest write with
+        unknown outcome was to replace; None if there was no such write.
     :param detail: the error of the last round.
     """
 
     change: changes.Change
     base: int
-    unresolved: bool = False
+    unresolved_at: ids.StoreRevision | None = None
     detail: str = ''
 
-    def record_failure(self, error: store.StoreError) -> None:
+    @property
+    def unresolved(self) -> bool:
+        return self.unresolved_at is not None
+
+    def may_replace(self, revision: ids.StoreRevision) -> bool:
+        """Return whether a write may still replace, or have replaced, a head.
+
+        A later head that lacks the change shows that no write took effect.
+        """
+        return (
+            self.unresolved_at is not None and revision <= self.unresolved_at
+        )
+
+    def record_failure(
+        self,
+        error: store.StoreError,
+        replaced: ids.StoreRevision,
+    ) -> None:
         """Record the failure of a CAS on the head."""
         self.detail = f'{error.fault.value}: {error.detail}'
         if error.fault is store.StoreFault.UNKNOWN:
-            self.unresolved = True
+            self.unresolved_at = replaced
 
     def to_rejection(self) -> rejection.Rejection:
         kind = rejection.RejectionKind.UNAVAILABLE
@@ -187,6 +205,9 @@
                 return result.Ok(accepted)
         document = self._prepare(state, attempt.change, since.ok_value)
         if isinstance(document, result.Err):
+            if attempt.may_replace(state.revision):
+                attempt.detail = '; '.join(document.err_value.faults)
+                return None
             return document
         return await self._write(attempt, state, document.ok_value)
 
@@ -237,7 +258,7 @@
             expected=state.revision,
         )
         if isinstance(answer, result.Err):
-            attempt.record_failure(answer.err_value)
+            attempt.record_failure(answer.err_value, state.revision)
             return None
         self._latest = State(head, answer.ok_value, document)
         await self._delete_unreferenced_snapshots(state.head, head)
--- a/tests/configuration/test_repository.py
+++ b/tests/configuration/test_repository.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import itertools
 import random
 import typing
 
@@ -55,6 +56,32 @@
     curio.run(main)
 
 
+def test_change_that_may_be_accepted_is_not_refused() -> None:
+    """A check that fails later must not hide a write of unknown outcome.
+
+    The guarantees depend on the workers, which may change in between.
+    """
+
+    async def main() -> None:
+        backend = memorystore.MemoryStore()
+        backend.drop_writes = 1
+        faults = iter([()])
+        repeated = repository.Repository(
+            backend,
+            rng=random.Random(1),
+            guarantee_check=lambda _: next(faults, ('no room', )),
+            clock=itertools.count(0.0, 0.4).__next__,
+            pause=no_pause,
+        )
+        lost = await repeated.accept(put_team('x'), base=0, timeout=1.0)
+        assert lost.err_value.kind is rejection.RejectionKind.UNKNOWN
+        await make(backend).accept(put_team('north'), base=0)
+        refused = await repeated.accept(put_team('x'), base=1, timeout=1.0)
+        assert refused.err_value.kind is rejection.RejectionKind.INVALID
+
+    curio.run(main)
+
+
 def test_concurrent_changes_of_operators() -> None:
     """Guards against lost updates of operators who change the same team.
 
