hosts: skip odd entries of the host list

What callers saw: no upstream took a request in time, on every daemon, when the host list held one upstream with a port out of range. Connecting to it raises OverflowError; that ends the group of polls and with it those of all other upstreams. An entry with an unknown role or state, or no port, hid the whole list; a list nested too deeply raised RecursionError in its readers, of which each ends the daemon.

Cause: the list was decoded and converted as a whole, and an address was any text with a number after the last colon.

Change: entries are decoded one by one; those that can't be used are logged and skipped. A worker has at most 1,024 accelerators. decoding.nesting_limit makes RecursionError a decoding error.

--- a/src/nutmegworks/adapters/hosts.py
+++ b/src/nutmegworks/adapters/hosts.py
@@ -4,16 +4,24 @@
 import abc
 import dataclasses
 import enum
+import ipaddress
+import typing
 
+import logbook
 import msgspec
 import result
 
+from nutmegworks.model import decoding
 from nutmegworks.model import ids
+from nutmegworks.model import shape
 from nutmegworks.net import client
 from nutmegworks.net import message
 from nutmegworks.net import pool
 
 LIST_TIMEOUT_SECONDS = 1.0
+MAX_PORT: typing.Final = 65535
+
+_log = logbook.Logger(__name__)
 
 
 class HostRole(enum.Enum):
@@ -62,11 +70,11 @@
     state: str
     service: str = ''
     rack: str = ''
-    accelerators: int = 0
+    accelerators: shape.WorkerAccelerators = 0
 
 
 class _Hosts(msgspec.Struct):
-    hosts: list[_Host]
+    hosts: list[msgspec.Raw]
 
 
 class HttpHostList(HostList):
@@ -93,13 +101,30 @@
         if answer.ok_value.status != 200:
             return result.Err(f'status {answer.ok_value.status}')
         try:
-            hosts = msgspec.json.decode(answer.ok_value.body, type=_Hosts)
-            return result.Ok(tuple(_host(item) for item in hosts.hosts))
-        except (msgspec.DecodeError, ValueError) as error:
+            with decoding.nesting_limit():
+                hosts = msgspec.json.decode(answer.ok_value.body, type=_Hosts)
+        except msgspec.DecodeError as error:
             return result.Err(str(error))
+        return result.Ok(tuple(_usable_hosts(hosts.hosts)))
 
 
-def _host(item: _Host) -> Host:
+def _usable_hosts(
+    items: typing.Iterable[msgspec.Raw],
+) -> typing.Iterator[Host]:
+    for item in items:
+        try:
+            yield _host(item)
+        except ValueError as error:
+            # One odd entry must not hide the other hosts.
+            _log.warning(
+                'skipping a host list entry: {}: {!r}', error,
+                bytes(item)[:100]
+            )
+
+
+def _host(raw: msgspec.Raw) -> Host:
+    with decoding.nesting_limit():
+        item = msgspec.json.decode(raw, type=_Host)
     return Host(
         item.host_id,
         HostRole(item.role),
@@ -115,13 +140,18 @@
 def parse_address(text: str) -> client.Address:
     """Parse ``ip:port``.
 
-    :raises ValueError: if the port is not a number.
+    :raises ValueError: if no connection can be opened to such an address.
 
     >>> parse_address('127.0.0.1:80')
     ('127.0.0.1', 80)
     """
     host, _, port = text.rpartition(':')
-    return host, int(port)
+    address = ipaddress.ip_address(host)
+    if not port.isascii() or not port.isdigit():
+        raise ValueError(f'{port!r} is not a port number')
+    if not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f'port {port} is out of range')
+    return str(address), int(port)
 
 
 __all__ = (
--- a/src/nutmegworks/model/shape.py
+++ b/src/nutmegworks/model/shape.py
@@ -6,8 +6,17 @@
 import re
 import typing
 
+import msgspec
+
 # The largest gang that the two-year cluster plan requires, in accelerators.
 MAX_GANG_ACCELERATORS: typing.Final = 512
+# A worker that claims to have more is misconfigured.
+MAX_WORKER_ACCELERATORS: typing.Final = 1024
+
+WorkerAccelerators = typing.Annotated[
+    int,
+    msgspec.Meta(ge=0, le=MAX_WORKER_ACCELERATORS),
+]
 
 _SHAPE_TEXT: typing.Final = re.compile(
     r'^([1-9]\d{0,3})x([1-9]\d{0,2})(?:@(rack|domain))?$'
@@ -75,4 +84,11 @@
         return size if self.spread is Spread.RACK else f'{size}@domain'
 
 
-__all__ = ('MAX_GANG_ACCELERATORS', 'Shape', 'ShapeError', 'Spread')
+__all__ = (
+    'MAX_GANG_ACCELERATORS',
+    'MAX_WORKER_ACCELERATORS',
+    'Shape',
+    'ShapeError',
+    'Spread',
+    'WorkerAccelerators',
+)
