adapters: unusable answers end no reader and confirm no write

What callers saw: a write of the store that was answered 404, or 200 without its revision, passed for stored at revision 0: a job accepted with 202 that no record holds. A page, lease or revision that could not be decoded raised in the task that read it, and a deeply nested answer of a worker or an upstream raised RecursionError. The daemon ends when one of its readers does.

Cause: 404 was a success of every call, a missing revision was 0, and pages and leases were decoded without a check.

Change: 404 is an answer only to a read of a key. An answer of the store that can't be used is of unknown effect, one of a worker is no answer.

--- a/src/nutmegworks/adapters/httpstore.py
+++ b/src/nutmegworks/adapters/httpstore.py
@@ -8,6 +8,7 @@
 import result
 
 from nutmegworks.adapters import store
+from nutmegworks.model import decoding
 from nutmegworks.model import ids
 from nutmegworks.net import client
 from nutmegworks.net import message
@@ -19,6 +20,8 @@
 WATCH_SLACK_SECONDS: typing.Final = 1.0
 # A page may contain several values of the maximum size, in base64.
 MAX_PAGE_BYTES: typing.Final = 16 * 1024 * 1024
+# Of a revision, which has 64 bits.
+MAX_DIGITS: typing.Final = 19
 
 _FAULT_BY_STATUS: typing.Final = {
     409: store.StoreFault.CONFLICT,
@@ -27,6 +30,7 @@
 }
 
 _Outcome = result.Result[message.Response, store.StoreError]
+_Value = typing.TypeVar('_Value')
 
 
 class _Item(msgspec.Struct):
@@ -67,13 +71,15 @@
         self,
         key: str,
     ) -> result.Result[store.Entry | None, store.StoreError]:
-        answer = await self._call('GET', _path(key))
+        answer = await self._call('GET', _path(key), may_be_absent=True)
         if isinstance(answer, result.Err):
             return answer
         response = answer.ok_value
         if response.status == 404:
             return result.Ok(None)
-        return result.Ok(store.Entry(key, _revision(response), response.body))
+        return _written_revision(response).map(
+            lambda revision: store.Entry(key, revision, response.body)
+        )
 
     async def put(
         self,
@@ -87,7 +93,7 @@
         if lease_id is not None:
             headers['lease-id'] = lease_id
         answer = await self._call('PUT', _path(key), headers, value)
-        return answer.map(_revision)
+        return answer.and_then(_written_revision)
 
     async def delete(
         self,
@@ -145,8 +151,8 @@
         answer = await self._call('POST', '/v1/leases', {}, body)
         if isinstance(answer, result.Err):
             return answer
-        lease = msgspec.json.decode(answer.ok_value.body, type=_Lease)
-        return result.Ok(store.LeaseId(lease.lease_id))
+        lease = _decode(answer.ok_value, _Lease)
+        return lease.map(lambda value: store.LeaseId(value.lease_id))
 
     async def renew_lease(
         self,
@@ -170,6 +176,7 @@
         body: bytes = b'',
         *,
         timeout: float | None = None,
+        may_be_absent: bool = False,
     ) -> _Outcome:
         self.calls += 1
         request = message.Request(method, target, headers or {}, body)
@@ -182,7 +189,7 @@
         )
         if isinstance(answer, result.Err):
             return result.Err(_store_error(answer.err_value))
-        return _check_status(answer.ok_value)
+        return _check_status(answer.ok_value, may_be_absent)
 
 
 def _path(key: str) -> str:
@@ -190,7 +197,34 @@
 
 
 def _revision(response: message.Response) -> ids.StoreRevision:
-    return ids.StoreRevision(int(response.headers.get('store-revision', '0')))
+    """Return the revision that a response states; ABSENT if it states none."""
+    text = response.headers.get('store-revision', '')
+    valid = text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
+    return ids.StoreRevision(int(text)) if valid else store.ABSENT
+
+
+def _written_revision(
+    response: message.Response,
+) -> result.Result[ids.StoreRevision, store.StoreError]:
+    revision = _revision(response)
+    if revision == store.ABSENT:
+        return _unusable('the response states no revision')
+    return result.Ok(revision)
+
+
+def _decode(
+    response: message.Response,
+    kind: type[_Value],
+) -> result.Result[_Value, store.StoreError]:
+    try:
+        with decoding.nesting_limit():
+            return result.Ok(msgspec.json.decode(response.body, type=kind))
+    except msgspec.DecodeError as error:
+        return _unusable(str(error))
+
+
+def _unusable(detail: str) -> result.Err[store.StoreError]:
+    return result.Err(store.StoreError(store.StoreFault.UNKNOWN, detail))
 
 
 def _store_error(error: client.ExchangeError) -> store.StoreError:
@@ -200,8 +234,8 @@
     return store.StoreError(fault, f'{error.fault.value}: {error.detail}')
 
 
-def _check_status(response: message.Response) -> _Outcome:
-    if response.status in (200, 404):
+def _check_status(response: message.Response, may_be_absent: bool) -> _Outcome:
+    if response.status == 200 or (response.status == 404 and may_be_absent):
         return result.Ok(response)
     fault = _FAULT_BY_STATUS.get(response.status, store.StoreFault.UNKNOWN)
     return result.Err(
@@ -212,9 +246,10 @@
 
 
 def _page(answer: _Outcome) -> result.Result[store.Page, store.StoreError]:
-    if isinstance(answer, result.Err):
-        return answer
-    page = msgspec.json.decode(answer.ok_value.body, type=_Page)
+    decoded = answer.and_then(lambda response: _decode(response, _Page))
+    if isinstance(decoded, result.Err):
+        return decoded
+    page = decoded.ok_value
     entries = tuple(
         store.Entry(item.key, ids.StoreRevision(item.revision), item.value)
         for item in page.items
--- a/src/nutmegworks/adapters/upstreams.py
+++ b/src/nutmegworks/adapters/upstreams.py
@@ -11,6 +11,7 @@
 import result
 
 from nutmegworks.limits import deadline
+from nutmegworks.model import decoding
 from nutmegworks.model import ids
 from nutmegworks.model import verdict
 from nutmegworks.net import client
@@ -179,7 +180,8 @@
         if isinstance(answer, result.Err):
             return result.Err(answer.err_value.detail)
         try:
-            state = msgspec.json.decode(answer.ok_value.body, type=_State)
+            with decoding.nesting_limit():
+                state = msgspec.json.decode(answer.ok_value.body, type=_State)
         except msgspec.DecodeError as error:
             return result.Err(str(error))
         return result.Ok(
--- a/src/nutmegworks/adapters/workers.py
+++ b/src/nutmegworks/adapters/workers.py
@@ -9,7 +9,9 @@
 import msgspec
 import result
 
+from nutmegworks.model import decoding
 from nutmegworks.model import ids
+from nutmegworks.model import shape
 from nutmegworks.net import client
 from nutmegworks.net import message
 from nutmegworks.net import pool
@@ -149,7 +151,7 @@
 class _State(msgspec.Struct):
     worker_id: str
     rack: str
-    accelerators: int
+    accelerators: shape.WorkerAccelerators
     fencing_token: int
     tasks: list[_Task]
 
@@ -235,7 +237,8 @@
         detail = f'status {response.status}'
         return result.Err(WorkerError(WorkerFault.NO_ANSWER, detail))
     try:
-        refusal = msgspec.json.decode(response.body, type=_Refused)
+        with decoding.nesting_limit():
+            refusal = msgspec.json.decode(response.body, type=_Refused)
     except msgspec.DecodeError as error:
         return result.Err(WorkerError(WorkerFault.FENCED, str(error)))
     return result.Err(WorkerError(refusal.reason, refusal.detail))
@@ -243,7 +246,8 @@
 
 def _decode_task(body: bytes) -> result.Result[TaskReport, WorkerError]:
     try:
-        task = msgspec.json.decode(body, type=_Task)
+        with decoding.nesting_limit():
+            task = msgspec.json.decode(body, type=_Task)
     except msgspec.DecodeError as error:
         return result.Err(WorkerError(WorkerFault.NO_ANSWER, str(error)))
     return result.Ok(_task_report(task))
@@ -251,7 +255,8 @@
 
 def _decode_state(body: bytes) -> result.Result[WorkerReport, WorkerError]:
     try:
-        state = msgspec.json.decode(body, type=_State)
+        with decoding.nesting_limit():
+            state = msgspec.json.decode(body, type=_State)
     except msgspec.DecodeError as error:
         return result.Err(WorkerError(WorkerFault.NO_ANSWER, str(error)))
     return result.Ok(
