jobs: odd records do not block their shard

What callers saw: no job of a failure domain started any more once the store held one odd record: a shape or time that can't be used, an accelerator with a huge index, another job's record, a value nested too deeply, or a COMMITTED one without a run. The controller ended on it, and so did that of every later owner. A damaged record or key also closed the connections of calls about it.

Cause: only values that msgspec refuses were skipped, and only in lists; their fields were checked where they were used.

Change: record.decode checks what the scheduler relies on. A list skips such a record with an error in the log, a single read returns UNKNOWN (so that no call says "did not run"), and a committed record without members isn't adopted.

--- a/src/nutmegworks/jobs/controller.py
+++ b/src/nutmegworks/jobs/controller.py
@@ -238,6 +238,9 @@
             return
         if self._records.is_outdated(stored):
             return
+        if job.state is record.JobState.COMMITTED and not job.member_count:
+            _log.error('skipping job {}: no member is committed', job.job_id)
+            return
         if job.run is not None and job.run.fencing_token > self._token:
             await self.fenced()
             return
--- a/src/nutmegworks/jobs/record.py
+++ b/src/nutmegworks/jobs/record.py
@@ -2,11 +2,13 @@
 from __future__ import annotations
 
 import enum
+import math
 import typing
 
 import msgspec
 import xxhash
 
+from nutmegworks.model import decoding
 from nutmegworks.model import ids
 from nutmegworks.model import shape
 from nutmegworks.model import work
@@ -143,6 +145,11 @@
             payload=self.payload,
         )
 
+    @property
+    def member_count(self) -> int:
+        """Number of members of the latest committed attempt."""
+        return 0 if self.run is None else len(self.run.members)
+
     @property
     def final(self) -> bool:
         return self.state in FINAL_STATES
@@ -216,9 +223,37 @@
 def decode(value: bytes) -> JobRecord:
     """Decode a job record from the store.
 
-    :raises msgspec.DecodeError: if the value is not a job record.
+    :raises msgspec.DecodeError: if the value is not a usable job record.
+    """
+    with decoding.nesting_limit():
+        decoded = msgspec.msgpack.decode(value, type=JobRecord)
+    _check(decoded)
+    return decoded
+
+
+def decode_key(value: bytes) -> KeyRecord:
+    """Decode the binding of an idempotency key from the store.
+
+    :raises msgspec.DecodeError: if the value is not such a binding.
     """
-    return msgspec.msgpack.decode(value, type=JobRecord)
+    with decoding.nesting_limit():
+        return msgspec.msgpack.decode(value, type=KeyRecord)
+
+
+def _check(job: JobRecord) -> None:
+    """Check what the type does not state and the scheduler relies on."""
+    try:
+        shape.Shape.parse(job.shape)
+    except shape.ShapeError as error:
+        raise msgspec.ValidationError(str(error)) from error
+    times = (job.run_time, job.accepted_at, job.ended_at)
+    if not all(math.isfinite(seconds) for seconds in times):
+        raise msgspec.ValidationError('a time is not finite')
+    members = () if job.run is None else job.run.members
+    for member in members:
+        for index in member.accelerators:
+            if not 0 <= index < shape.MAX_WORKER_ACCELERATORS:
+                raise msgspec.ValidationError(f'no accelerator {index}')
 
 
 __all__ = (
@@ -238,6 +273,7 @@
     'WAITING_STATES',
     'apply_changes',
     'decode',
+    'decode_key',
     'encode',
     'job_id',
     'job_id_of_run',
--- a/src/nutmegworks/jobs/repository.py
+++ b/src/nutmegworks/jobs/repository.py
@@ -20,6 +20,7 @@
 _log = logbook.Logger(__name__)
 
 _Error = store.StoreError
+_Value = typing.TypeVar('_Value')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,7 +86,7 @@
             return answer
         if answer.ok_value is None:
             return result.Ok(None)
-        return result.Ok(_decode_stored(answer.ok_value))
+        return _decode(answer.ok_value, _decode_stored)
 
     async def bind_key(
         self,
@@ -111,7 +112,7 @@
             key,
             record.encode(bound),
             expected=store.ABSENT,
-            is_own=lambda value: _decode_key(value).write_id == bound.write_id,
+            is_own=functools.partial(_is_binding, bound.write_id),
         )
         if isinstance(answer, result.Ok):
             return result.Ok(Binding(bound, True))
@@ -126,8 +127,11 @@
     ) -> result.Result[record.KeyRecord | None, _Error]:
         """Return the binding of a job's idempotency key, if there is one."""
         answer = await self._store.get(record.KEY_PREFIX + job_id)
-        return answer.map(
-            lambda entry: entry and _decode_key(entry.value or b'')
+        if isinstance(answer, result.Err) or answer.ok_value is None:
+            return answer
+        return _decode(
+            answer.ok_value,
+            lambda entry: record.decode_key(entry.value or b''),
         )
 
     async def create(
@@ -289,16 +293,36 @@
     return answer
 
 
-def _decode_key(value: bytes) -> record.KeyRecord:
-    return msgspec.msgpack.decode(value, type=record.KeyRecord)
+def _is_binding(write_id: str, value: bytes) -> bool:
+    try:
+        return record.decode_key(value).write_id == write_id
+    except msgspec.DecodeError:
+        return False
 
 
 def _contains_write(write_id: str, value: bytes) -> bool:
-    return write_id in record.decode(value).writes
+    try:
+        return write_id in record.decode(value).writes
+    except msgspec.DecodeError:
+        return False
 
 
 def _decode_stored(entry: store.Entry) -> StoredJob:
-    return StoredJob(record.decode(entry.value or b''), entry.revision)
+    decoded = record.decode(entry.value or b'')
+    if record.store_key(decoded.shard_id, decoded.job_id) != entry.key:
+        raise msgspec.ValidationError('the record of another job')
+    return StoredJob(decoded, entry.revision)
+
+
+def _decode(
+    entry: store.Entry,
+    decode: typing.Callable[[store.Entry], _Value],
+) -> result.Result[_Value, _Error]:
+    try:
+        return result.Ok(decode(entry))
+    except msgspec.DecodeError as error:
+        detail = f'{entry.key} can not be used: {error}'
+        return result.Err(_Error(store.StoreFault.UNKNOWN, detail))
 
 
 def _batch(page: store.Page) -> Batch:
--- a/tests/jobs/test_controller.py
+++ b/tests/jobs/test_controller.py
@@ -4,6 +4,7 @@
 import typing
 
 import curio
+import msgspec
 import pytest
 import result
 
@@ -263,6 +264,31 @@
     assert records.is_outdated(old) and records.is_outdated(new)
 
 
+@pytest.mark.parametrize('members', [None, ()])
+def test_committed_record_without_members_blocks_no_other(members) -> None:
+    """A record that can't be adopted must not end the owner."""
+
+    async def main() -> None:
+        async with fakes.serve_cluster() as cluster:
+            odd = builders.job_record('1-odd')
+            run = members if members is None else record.Run(
+                run_id=record.run_id(odd.job_id, 1),
+                attempt=1,
+                fencing_token=ids.FencingToken(1),
+                members=members,
+                commit_id='c',
+                committed_at=1.0,
+            )
+            await cluster.jobs.create(
+                msgspec.structs.replace(odd, state=STATE.COMMITTED, run=run)
+            )
+            await cluster.start_owner(1)
+            view = await cluster.wait_until_ended(await cluster.accept())
+            assert view.state is STATE.DONE
+
+    helpers.run(main)
+
+
 def test_task_of_unknown_run_is_stopped() -> None:
     """A reservation of a dead owner must not block a worker for long."""
 
