store: damaged records do not end the daemon

What callers saw: all daemons of a site ended one after another once the store held one value that can't be decoded: the owner record of a shard, which each daemon reads; its account, which each owner reads when it takes over; a claim record or a configuration with a value nested too deeply; or changes of the configuration that do not apply to its document.

Cause: the exception of the decoder left a task of the daemon, which ends with the first task that fails. RecursionError was caught nowhere.

Change, by reader: a damaged owner record counts as not read, as its fencing token is not known; the shard has no owner until an operator deletes it. A damaged account is kept under account/damaged/ and a new one started; reports leave damaged parts out. Claims in a damaged record are refused, others not. A damaged configuration is unavailable; the one in force stays.

--- a/src/nutmegworks/accounting/ledger.py
+++ b/src/nutmegworks/accounting/ledger.py
@@ -189,17 +189,20 @@
         The time since the snapshot counts for the uses of the snapshot until
         ``reconcile`` sets the actual ones.
 
-        :raises LedgerError: if the version of the snapshot is unknown.
+        :raises LedgerError: if the snapshot is damaged or of an unknown
+            version.
         """
-        content = msgspec.msgpack.decode(
-            zlib.decompress(snapshot),
-            type=_Snapshot,
-        )
+        try:
+            content = report.unpack(snapshot, _Snapshot)
+        except report.DamagedError as error:
+            raise LedgerError(str(error)) from error
         if content.version != _SNAPSHOT_VERSION:
             raise LedgerError(
                 f'unsupported snapshot version {content.version}'
             )
         today = content.today
+        if not today.parts:
+            raise LedgerError('the snapshot covers no time')
         part = today.parts[0]
         ledger = cls(part.source, part.from_ms)
         ledger._now_ms = part.until_ms
--- a/src/nutmegworks/accounting/report.py
+++ b/src/nutmegworks/accounting/report.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from nutmegworks.accounting import use
+from nutmegworks.model import decoding
 from nutmegworks.model import ids
 
 DAY_MS: typing.Final = 86_400_000
@@ -19,6 +20,12 @@
 
 ReasonKey = tuple[int, 'DecisionKind', ids.ClassId, str]
 
+_Value = typing.TypeVar('_Value')
+
+
+class DamagedError(ValueError):
+    """Bytes are no report or ledger."""
+
 
 class MergeError(ValueError):
     """Two reports cover the same time of the same source."""
@@ -122,7 +129,11 @@
 
     @classmethod
     def unpack(cls, packed: bytes) -> Report:
-        return msgspec.msgpack.decode(zlib.decompress(packed), type=cls)
+        """Return the report that ``pack`` has encoded.
+
+        :raises DamagedError: if the bytes are damaged.
+        """
+        return unpack(packed, cls)
 
     def to_json(self) -> bytes:
         return msgspec.json.encode(self)
@@ -132,6 +143,18 @@
         return msgspec.json.decode(text, type=cls)
 
 
+def unpack(packed: bytes, kind: type[_Value]) -> _Value:
+    """Decode compressed MessagePack.
+
+    :raises DamagedError: if the bytes are damaged.
+    """
+    try:
+        with decoding.nesting_limit():
+            return msgspec.msgpack.decode(zlib.decompress(packed), type=kind)
+    except (zlib.error, msgspec.DecodeError) as error:
+        raise DamagedError(str(error)) from error
+
+
 def merge(reports: typing.Iterable[Report]) -> Report:
     """Return the sum of reports on different sources or periods.
 
@@ -228,6 +251,7 @@
 
 __all__ = (
     'DAY_MS',
+    'DamagedError',
     'Decision',
     'DecisionKind',
     'MAX_DECISIONS',
@@ -242,4 +266,5 @@
     'make_reasons',
     'make_rows',
     'merge',
+    'unpack',
 )
--- a/src/nutmegworks/claims/answers.py
+++ b/src/nutmegworks/claims/answers.py
@@ -10,6 +10,7 @@
 
 from nutmegworks.adapters import store
 from nutmegworks.claims import record
+from nutmegworks.model import decoding
 from nutmegworks.model import ids
 
 MAX_ANSWER_BYTES: typing.Final = 256 * 1024
@@ -172,7 +173,8 @@
 
 def _answer_at(segment: bytes, index: int) -> Answer | None:
     try:
-        return _DECODER.decode(segment)[index]
+        with decoding.nesting_limit():
+            return _DECODER.decode(segment)[index]
     except (msgspec.DecodeError, IndexError):
         return None
 
--- a/src/nutmegworks/claims/record.py
+++ b/src/nutmegworks/claims/record.py
@@ -13,6 +13,7 @@
 import result
 
 from nutmegworks.claims import key as claim_key
+from nutmegworks.model import decoding
 
 MAX_ATTEMPT_ID_LENGTH: typing.Final = 32
 MAX_ATTEMPT_NUMBER: typing.Final = 2**31
@@ -279,7 +280,8 @@
 
     :raises msgspec.DecodeError: if the value is not a claim record.
     """
-    record = _DECODER.decode(value)
+    with decoding.nesting_limit():
+        record = _DECODER.decode(value)
     if record.format != FORMAT:
         raise msgspec.ValidationError(
             f'unknown claim record format {record.format}'
--- a/src/nutmegworks/configuration/document.py
+++ b/src/nutmegworks/configuration/document.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from nutmegworks.model import decoding
 from nutmegworks.model import ids
 from nutmegworks.model import shape
 from nutmegworks.model import work
@@ -97,7 +98,8 @@
         raw = decompressor.decompress(data, MAX_DECODED_BYTES)
         if decompressor.unconsumed_tail:
             raise DocumentError(f'larger than {MAX_DECODED_BYTES} bytes')
-        return msgspec.msgpack.decode(raw, type=kind)
+        with decoding.nesting_limit():
+            return msgspec.msgpack.decode(raw, type=kind)
     except (zlib.error, msgspec.MsgspecError) as error:
         raise DocumentError(str(error)) from error
 
--- a/src/nutmegworks/configuration/reader.py
+++ b/src/nutmegworks/configuration/reader.py
@@ -83,7 +83,7 @@
         if newer is None:
             return unavailable('the head does not reach its snapshot')
         read = await self.snapshot(head.snapshot_sequence)
-        return read.map(lambda value: replay(value.document, newer))
+        return read.and_then(lambda value: try_replay(value.document, newer))
 
     async def changes_after(
         self,
@@ -137,4 +137,18 @@
     return document
 
 
-__all__ = ('ARCHIVE_PAGE_ENTRIES', 'Reader', 'decode', 'replay', 'unavailable')
+def try_replay(
+    document: documents.Document,
+    accepted: typing.Iterable[change.AcceptedChange],
+) -> result.Result[documents.Document, store.StoreError]:
+    """Return the document after stored changes, which may be damaged."""
+    try:
+        return result.Ok(replay(document, accepted))
+    except change.ChangeError as error:
+        return unavailable(f'a stored change does not apply: {error}')
+
+
+__all__ = (
+    'ARCHIVE_PAGE_ENTRIES', 'Reader', 'decode', 'replay', 'try_replay',
+    'unavailable'
+)
--- a/src/nutmegworks/configuration/repository.py
+++ b/src/nutmegworks/configuration/repository.py
@@ -145,7 +145,7 @@
         newer = None if latest is None else head.changes_after(latest.sequence)
         if latest is None or newer is None:
             return await self._reader.document(head)
-        return result.Ok(readers.replay(latest.document, newer))
+        return readers.try_replay(latest.document, newer)
 
     async def history(
         self,
--- a/src/nutmegworks/configuration/snapshot_decoding.py
+++ b/src/nutmegworks/configuration/snapshot_decoding.py
@@ -10,6 +10,7 @@
 
 from nutmegworks.configuration import document as documents
 from nutmegworks.configuration import records
+from nutmegworks.model import decoding
 from nutmegworks.model import ids
 
 
@@ -65,10 +66,11 @@
         for name, entry in raw.document.teams.items()
     }
     try:
-        classes = {
-            name: interner.decode_class(entry)
-            for name, entry in raw.document.classes.items()
-        }
+        with decoding.nesting_limit():
+            classes = {
+                name: interner.decode_class(entry)
+                for name, entry in raw.document.classes.items()
+            }
     except msgspec.MsgspecError as error:
         raise documents.DocumentError(str(error)) from error
     document = documents.Document(classes=classes, teams=teams)
--- a/src/nutmegworks/daemon/accounts.py
+++ b/src/nutmegworks/daemon/accounts.py
@@ -15,6 +15,7 @@
 
 STATE_PREFIX: typing.Final = 'account/state/'
 DAY_PREFIX: typing.Final = 'account/day/'
+DAMAGED_PREFIX: typing.Final = 'account/damaged/'
 PAGE_ENTRIES: typing.Final = 50
 
 
@@ -34,6 +35,8 @@
     ) -> result.Result[ledger.Ledger, store.StoreError]:
         """Return the stored account of a shard, or a new one.
 
+        A damaged account is kept under ``DAMAGED_PREFIX``.
+
         :param now_ms: milliseconds since 1970; the start of a new account.
         """
         read = await self._store.get(STATE_PREFIX + shard_id)
@@ -42,7 +45,24 @@
         entry = read.ok_value
         if entry is None or entry.value is None:
             return result.Ok(ledger.Ledger(shard_id, now_ms))
-        return result.Ok(ledger.Ledger.restore(entry.value))
+        try:
+            return result.Ok(ledger.Ledger.restore(entry.value))
+        except ledger.LedgerError as error:
+            _LOG.error(
+                'usage account damaged, starting a new one',
+                key=entry.key,
+                error=str(error),
+            )
+        # The next snapshot replaces the damaged one.
+        kept = await self._store.put(
+            f'{DAMAGED_PREFIX}{shard_id}/{entry.revision}',
+            entry.value,
+            expected=store.ABSENT,
+        )
+        if isinstance(kept, result.Err):
+            if kept.err_value.fault is not store.StoreFault.CONFLICT:
+                return kept
+        return result.Ok(ledger.Ledger(shard_id, now_ms))
 
     async def save(
         self,
@@ -101,21 +121,25 @@
                     break
                 for entry in read.ok_value.entries:
                     last_key = entry.key
-                    reports += _decode_reports(
-                        prefix, entry.value or b'', now_ms
-                    )
+                    reports += _decode_reports(prefix, entry, now_ms)
         return result.Ok(report.merge(reports))
 
 
 def _decode_reports(
     prefix: str,
-    value: bytes,
+    entry: store.Entry,
     now_ms: int,
 ) -> list[report.Report]:
-    if prefix == DAY_PREFIX:
-        return [report.Report.unpack(value)]
-    account = ledger.Ledger.restore(value)
+    value = entry.value or b''
+    try:
+        if prefix == DAY_PREFIX:
+            return [report.Report.unpack(value)]
+        account = ledger.Ledger.restore(value)
+    except (ledger.LedgerError, report.DamagedError) as error:
+        # The report of the other shards and days is still right.
+        _LOG.error('usage account skipped', key=entry.key, error=str(error))
+        return []
     return [account.today(now_ms), *account.take_closed(now_ms)]
 
 
-__all__ = ('AccountStore', 'DAY_PREFIX', 'STATE_PREFIX')
+__all__ = ('AccountStore', 'DAMAGED_PREFIX', 'DAY_PREFIX', 'STATE_PREFIX')
--- a/src/nutmegworks/membership/ownership.py
+++ b/src/nutmegworks/membership/ownership.py
@@ -22,6 +22,7 @@
 
 from nutmegworks.adapters import cas
 from nutmegworks.adapters import store
+from nutmegworks.model import decoding
 from nutmegworks.model import ids
 
 OWNER_PREFIX: typing.Final = 'owners/'
@@ -59,6 +60,15 @@
 )
 
 
+def _decode(value: bytes) -> OwnerRecord | None:
+    """Return the record, or None if the value is damaged."""
+    try:
+        with decoding.nesting_limit():
+            return msgspec.msgpack.decode(value, type=OwnerRecord)
+    except msgspec.DecodeError:
+        return None
+
+
 def _new_id() -> str:
     return uuid.uuid4().hex
 
@@ -130,7 +140,9 @@
     async def observe(self) -> bool:
         """Read the record and update this daemon's ownership.
 
-        :return: whether the read succeeded and was not stale.
+        :return: whether the read succeeded and was not stale. A damaged
+            record counts as not read: its token is not known, and a lower one
+            must not be claimed.
         """
         answer = await self._store.get(self._key)
         if isinstance(answer, result.Err):
@@ -139,12 +151,10 @@
         revision = store.ABSENT if entry is None else entry.revision
         if revision < self._revision:
             return False
-        record = _NO_OWNER
-        if entry is not None:
-            record = msgspec.msgpack.decode(
-                entry.value or b'',
-                type=OwnerRecord,
-            )
+        record = _NO_OWNER if entry is None else _decode(entry.value or b'')
+        if record is None:
+            _log.error('{}: the record of its owner is damaged', self._key)
+            return False
         self._record_read(record, revision)
         return True
 
@@ -239,8 +249,8 @@
     ) -> result.Result[ids.StoreRevision, store.StoreError]:
 
         def is_own(value: bytes) -> bool:
-            stored = msgspec.msgpack.decode(value, type=OwnerRecord)
-            return stored.claim_id == record.claim_id
+            stored = _decode(value)
+            return stored is not None and stored.claim_id == record.claim_id
 
         return await cas.put(
             self._store,
