entry, peers: nested bodies are refused with a verdict

What callers saw: the connection closed without an answer when the body of a job or of a change, or a message of a peer, was nested more than 1,000 deep; the caller could not tell whether the job runs. A peer's reply raised in the task that sent the message, for example the one that exchanges heartbeats.

Cause: msgspec raises RecursionError, which the handlers did not expect, for such values, also in fields that it skips.

Change: decoding.nesting_limit makes it a decoding error, which each of these readers refuses with 400 or as an unusable reply.

--- a/src/nutmegworks/entry/jobs.py
+++ b/src/nutmegworks/entry/jobs.py
@@ -17,6 +17,7 @@
 from nutmegworks.entry import operators
 from nutmegworks.entry import requests
 from nutmegworks.jobs import service as job_service
+from nutmegworks.model import decoding
 from nutmegworks.model import ids
 from nutmegworks.model import published
 from nutmegworks.model import shape as shapes
@@ -198,7 +199,10 @@
                 'characters',
             )
         try:
-            job_request = msgspec.json.decode(request.body, type=JobRequest)
+            with decoding.nesting_limit():
+                job_request = msgspec.json.decode(
+                    request.body, type=JobRequest
+                )
             shape = shapes.Shape.parse(job_request.shape)
         except (msgspec.DecodeError, shapes.ShapeError) as error:
             return _bad_request(str(error))
--- a/src/nutmegworks/entry/operators.py
+++ b/src/nutmegworks/entry/operators.py
@@ -12,6 +12,7 @@
 from nutmegworks.configuration import rejection
 from nutmegworks.configuration import repository as repositories
 from nutmegworks.entry import authenticate
+from nutmegworks.model import decoding
 from nutmegworks.model import verdict
 from nutmegworks.net import message
 from nutmegworks.net import server
@@ -128,9 +129,10 @@
     ) -> message.Response:
         """Handle ``POST /v1/config/changes``."""
         try:
-            change_request = msgspec.json.decode(
-                request.body, type=ChangeRequest
-            )
+            with decoding.nesting_limit():
+                change_request = msgspec.json.decode(
+                    request.body, type=ChangeRequest
+                )
         except msgspec.DecodeError as error:
             return _bad_request(str(error))
         outcome = await self._repository.accept(
--- a/src/nutmegworks/peers/client.py
+++ b/src/nutmegworks/peers/client.py
@@ -8,6 +8,7 @@
 import msgspec
 import result
 
+from nutmegworks.model import decoding
 from nutmegworks.net import client
 from nutmegworks.net import message
 from nutmegworks.net import pool
@@ -128,9 +129,10 @@
                                            received):
             return _error(PeerFault.NOT_AUTHENTIC, 'wrong code in the reply')
         try:
-            return result.Ok(
-                msgspec.msgpack.decode(response.body, type=reply_type)
-            )
+            with decoding.nesting_limit():
+                return result.Ok(
+                    msgspec.msgpack.decode(response.body, type=reply_type)
+                )
         except msgspec.MsgspecError as error:
             return _error(PeerFault.REFUSED, str(error))
 
--- a/src/nutmegworks/peers/service.py
+++ b/src/nutmegworks/peers/service.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from nutmegworks.model import decoding
 from nutmegworks.net import message
 from nutmegworks.peers import authentication
 
@@ -54,9 +55,10 @@
             return message.Response(404)
         message_type, handler = route
         try:
-            value: typing.Any = msgspec.msgpack.decode(
-                request.body, type=message_type
-            )
+            with decoding.nesting_limit():
+                value: typing.Any = msgspec.msgpack.decode(
+                    request.body, type=message_type
+                )
         except msgspec.MsgspecError:
             return message.Response(400)
         reply = await handler(value)
