--- a/src/nutmegworks/daemon/accounts.py
+++ b/src/nutmegworks/daemon/accounts.py
@@ -27,6 +27,8 @@
 
     def __init__(self, backend: store.Store) -> None:
         self._store = backend
+        # Packed reports of closed days by store key.
+        self._unsaved_by_key: dict[str, bytes] = {}
 
     async def load(
         self,
@@ -42,6 +44,8 @@
         read = await self._store.get(STATE_PREFIX + shard_id)
         if isinstance(read, result.Err):
             return read
+        # The snapshot contains each day that is not saved.
+        self._unsaved_by_key.clear()
         entry = read.ok_value
         if entry is None or entry.value is None:
             return result.Ok(ledger.Ledger(shard_id, now_ms))
@@ -72,7 +76,8 @@
     ) -> None:
         """Write the reports of closed days and a snapshot of the account.
 
-        A failed write is logged; the next call writes the snapshot again.
+        A failed write is logged and repeated by the next call. The snapshot
+        is only replaced once the days that it contains are saved.
 
         :param now_ms: milliseconds since 1970.
         """
@@ -80,18 +85,23 @@
             first_part = day_report.parts[0]
             day = first_part.from_ms // report.DAY_MS
             key = f'{DAY_PREFIX}{day}/{shard_id}/{first_part.from_ms}'
-            await self._overwrite(key, day_report.pack())
+            self._unsaved_by_key[key] = day_report.pack()
+        for key, packed in list(self._unsaved_by_key.items()):
+            if not await self._overwrite(key, packed):
+                return
+            del self._unsaved_by_key[key]
         await self._overwrite(
             STATE_PREFIX + shard_id, account.snapshot(now_ms)
         )
 
-    async def _overwrite(self, key: str, value: bytes) -> None:
+    async def _overwrite(self, key: str, value: bytes) -> bool:
+        """Write a value; return whether the store confirmed it."""
         read = await self._store.get(key)
         if isinstance(read, result.Err):
             _LOG.warning(
                 'usage account not saved', detail=read.err_value.detail
             )
-            return
+            return False
         entry = read.ok_value
         expected = store.ABSENT if entry is None else entry.revision
         put = await self._store.put(key, value, expected=expected)
@@ -99,6 +109,7 @@
             _LOG.warning(
                 'usage account not saved', detail=put.err_value.detail
             )
+        return put.is_ok()
 
     async def load_report(
         self,
