workers: an answer that can't be used neither fences nor ends a task

What callers saw: an answer about another run counted as the answer to the order, so a job could end with the result of another one. A worker whose refusal could not be decoded, for example with a reason of a newer version, made the owner give up the whole shard, and so each later owner.

Cause: the run of an answer was not compared with that of the order, and an unreadable refusal was taken for "a newer owner exists".

Change: both are no answer. The effect of the order is then unknown; the gang sends it again and gives up this worker, not the shard.

--- a/src/nutmegworks/adapters/workers.py
+++ b/src/nutmegworks/adapters/workers.py
@@ -193,7 +193,9 @@
             msgspec.json.encode(body),
         )
         answer = await self._exchange(address, request)
-        return answer.and_then(_decode_task)
+        return answer.and_then(_decode_task).and_then(
+            lambda report: _check_run(report, order.run_id)
+        )
 
     async def report(
         self,
@@ -240,7 +242,7 @@
         with decoding.nesting_limit():
             refusal = msgspec.json.decode(response.body, type=_Refused)
     except msgspec.DecodeError as error:
-        return result.Err(WorkerError(WorkerFault.FENCED, str(error)))
+        return result.Err(WorkerError(WorkerFault.NO_ANSWER, str(error)))
     return result.Err(WorkerError(refusal.reason, refusal.detail))
 
 
@@ -253,6 +255,16 @@
     return result.Ok(_task_report(task))
 
 
+def _check_run(
+    report: TaskReport,
+    run_id: ids.RunId,
+) -> result.Result[TaskReport, WorkerError]:
+    if report.run_id != run_id:
+        detail = f'the answer is about run {report.run_id}'
+        return result.Err(WorkerError(WorkerFault.NO_ANSWER, detail))
+    return result.Ok(report)
+
+
 def _decode_state(body: bytes) -> result.Result[WorkerReport, WorkerError]:
     try:
         with decoding.nesting_limit():
