claims: a stale read does not drop the outcome of an attempt

What callers saw: retries of a request that had been answered got in-progress and may-have-run for the rest of the hour in place of the stored response.

Cause: the preferred daemon read the record as it was before the claim and replied that the attempt does not hold its key. This one reply decided; the outcome was not written again.

Class: one of several tries becomes the verdict.

Change: the daemon that holds the attempt knows that a record without its claim is outdated and queues the outcome again.

Evidence: test_outcome_is_stored_despite_a_stale_read failed before the change (IN_PROGRESS in place of the response) and passes with it. Measured: tests/claims passes.

--- a/src/nutmegworks/claims/service.py
+++ b/src/nutmegworks/claims/service.py
@@ -38,6 +38,13 @@
     record.Status.ATTEMPT_OVER,
     record.Status.EXPIRED,
 )
+# Replies after which the outcome of a granted attempt is written again. The
+# attempt holds its key, so a record that says otherwise is outdated.
+_UNFINISHED_STATUSES: typing.Final = (
+    record.Status.STORE_UNAVAILABLE,
+    record.Status.OVERLOADED,
+    record.Status.NOT_HOLDER,
+)
 _LOCAL_RETRY_STATUSES: typing.Final = (
     record.Status.STORE_UNAVAILABLE,
     record.Status.OVERLOADED,
@@ -245,7 +252,7 @@
             reference,
         )
         reply = await self._submit(operation, timeout)
-        if reply.status in _LOCAL_RETRY_STATUSES:
+        if reply.status in _UNFINISHED_STATUSES:
             await self._batcher_by_shard[parsed.shard].enqueue(operation)
         return reply.status is record.Status.DONE
 
--- a/tests/claims/test_service.py
+++ b/tests/claims/test_service.py
@@ -28,6 +28,7 @@
 
     :ivar lose_replies: whether the reply is lost after the other daemon has
         handled the operation.
+    :ivar forwards: whether operations reach the other daemon.
     :ivar paused: whether the other daemon handles operations only later, when
         ``resume`` is called.
     """
@@ -36,6 +37,7 @@
         self.service_by_id: dict = {}
         self.calls = 0
         self.lose_replies = False
+        self.forwards = True
         self.paused = False
         self._delayed: list = []
 
@@ -47,6 +49,8 @@
 
     async def forward(self, member_id, operation, *, timeout):
         self.calls += 1
+        if not self.forwards:
+            return result.Err(forwarder.ForwardError('cut off', sent=False))
         if self.paused:
             self._delayed.append((member_id, operation))
             return result.Err(forwarder.ForwardError('timeout', sent=True))
@@ -313,6 +317,44 @@
     run(scenario)
 
 
+def test_outcome_is_stored_despite_a_stale_read() -> None:
+    """A retry must get the response of an attempt that has ended.
+
+    The preferred daemon reads the record as it was before the claim.
+    """
+    kept = answers.Answer('text/plain', b'route 7')
+
+    async def scenario(backing, messages, one, two) -> None:
+        preferred_daemon, other = _order_by_preference(one, two)
+        record_key = key.parse(KEY, 'north').unwrap().record_key
+        other_key = _other_key_of_the_record()
+        assert (await claim(preferred_daemon, text=other_key)).is_ok()
+        outdated = backing.peek(record_key)
+        messages.forwards = False
+        granted = await claim(other, first=False)
+        messages.forwards = True
+        for daemon in (preferred_daemon, other):
+            shard = key.parse(KEY, 'north').unwrap().shard
+            daemon._batcher_by_shard[shard]._cached_by_slot.clear()
+        backing.stale_by_key[record_key] = outdated
+        await finish(other, granted, record.State.RAN, kept)
+        await curio.sleep(0.5)
+        retried = await wait(preferred_daemon, BODY, 0.5)
+        assert retried.ok_value == service.Finished(kept)
+
+    run(scenario, forwarding=True)
+
+
+def _other_key_of_the_record() -> str:
+    """Return another key with the same record as ``KEY``."""
+    shard = key.parse(KEY, 'north').unwrap().shard
+    texts = (f'{EPOCH}-other-{number}' for number in range(99))
+    return next(
+        text for text in texts
+        if key.parse(text, 'north').unwrap().shard == shard
+    )
+
+
 def test_lost_forward_is_retried_locally_with_one_grant() -> None:
     """A lost message between daemons must not lose or double the claim."""
 
