--- a/src/nutmegworks/claims/service.py
+++ b/src/nutmegworks/claims/service.py
@@ -38,6 +38,13 @@
     record.Status.ATTEMPT_OVER,
     record.Status.EXPIRED,
 )
+# Replies after which the outcome of a granted attempt is written again. The
+# attempt holds its key, so a record that says otherwise is outdated.
+_UNFINISHED_STATUSES: typing.Final = (
+    record.Status.STORE_UNAVAILABLE,
+    record.Status.OVERLOADED,
+    record.Status.NOT_HOLDER,
+)
 _LOCAL_RETRY_STATUSES: typing.Final = (
     record.Status.STORE_UNAVAILABLE,
     record.Status.OVERLOADED,
@@ -173,7 +180,8 @@
                 attempt, min(timeout, CLAIM_TIMEOUT_SECONDS)
             )
             if reply.status is record.Status.IN_PROGRESS:
-                reply = await self._poll(attempt, deadline)
+                polled = await self._poll(attempt, deadline)
+                reply = replies.after(reply, polled)
             return await self._to_outcome(reply, attempt.operation)
         finally:
             await self._release_unless_granted(attempt)
@@ -244,7 +252,7 @@
             reference,
         )
         reply = await self._submit(operation, timeout)
-        if reply.status in _LOCAL_RETRY_STATUSES:
+        if reply.status in _UNFINISHED_STATUSES:
             await self._batcher_by_shard[parsed.shard].enqueue(operation)
         return reply.status is record.Status.DONE
 
@@ -303,9 +311,9 @@
         remaining = max(0.0, timeout - (self._clock() - started))
         local = self._batcher_by_shard[operation.shard]
         local_reply = await local.submit(operation, timeout=remaining)
-        if reply is None or not reply.write_sent:
+        if reply is None:
             return local_reply
-        return replies.with_write_sent(local_reply)
+        return replies.after(reply, local_reply)
 
     async def _forward(
         self,
--- a/src/nutmegworks/jobs/repository.py
+++ b/src/nutmegworks/jobs/repository.py
@@ -20,6 +20,7 @@
 _log = logbook.Logger(__name__)
 
 _Error = store.StoreError
+_Value = typing.TypeVar('_Value')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,6 +45,17 @@
     revision: ids.StoreRevision
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Binding:
+    """The binding of an idempotency key.
+
+    :param is_new: whether this call has bound the key.
+    """
+
+    record: record.KeyRecord
+    is_new: bool
+
+
 def _new_write_id() -> str:
     return uuid.uuid4().hex
 
@@ -74,20 +86,24 @@
             return answer
         if answer.ok_value is None:
             return result.Ok(None)
-        return result.Ok(_decode_stored(answer.ok_value))
+        return _decode(answer.ok_value, _decode_stored)
 
     async def bind_key(
         self,
         job_id: ids.JobId,
         requested: record.KeyRecord,
-    ) -> result.Result[record.KeyRecord, _Error]:
-        """Bind an idempotency key, or return its existing binding."""
+    ) -> result.Result[Binding, _Error]:
+        """Bind an idempotency key, or return its existing binding.
+
+        :return: CONFLICT and UNAVAILABLE mean that the key was not bound by
+            this call and is not known to be bound.
+        """
         key = record.KEY_PREFIX + job_id
         existing = await self.get_key(job_id)
         if isinstance(existing, result.Err):
             return existing
         if existing.ok_value is not None:
-            return result.Ok(existing.ok_value)
+            return result.Ok(Binding(existing.ok_value, False))
         bound = msgspec.structs.replace(
             requested, write_id=self._new_write_id()
         )
@@ -96,13 +112,14 @@
             key,
             record.encode(bound),
             expected=store.ABSENT,
-            is_own=lambda value: _decode_key(value).write_id == bound.write_id,
+            is_own=functools.partial(_is_binding, bound.write_id),
         )
         if isinstance(answer, result.Ok):
-            return result.Ok(bound)
+            return result.Ok(Binding(bound, True))
         if answer.err_value.fault is not store.StoreFault.CONFLICT:
             return answer
-        return (await self.get_key(job_id)).and_then(_require_value)
+        other = _found_by_write(await self.get_key(job_id))
+        return other.map(lambda found: Binding(found, False))
 
     async def get_key(
         self,
@@ -110,22 +127,27 @@
     ) -> result.Result[record.KeyRecord | None, _Error]:
         """Return the binding of a job's idempotency key, if there is one."""
         answer = await self._store.get(record.KEY_PREFIX + job_id)
-        return answer.map(
-            lambda entry: entry and _decode_key(entry.value or b'')
+        if isinstance(answer, result.Err) or answer.ok_value is None:
+            return answer
+        return _decode(
+            answer.ok_value,
+            lambda entry: record.decode_key(entry.value or b''),
         )
 
     async def create(
         self,
         job: record.JobRecord,
     ) -> result.Result[StoredJob, _Error]:
-        """Write a new record, or return the existing one."""
+        """Write a new record, or return the existing one.
+
+        :return: UNKNOWN also if the record exists and can't be read.
+        """
         answer = await self._put(job, store.ABSENT)
         if isinstance(answer, result.Ok):
             return answer
         if answer.err_value.fault is not store.StoreFault.CONFLICT:
             return answer
-        existing = await self.get(job.shard_id, job.job_id)
-        return existing.and_then(_require_value)
+        return _found_by_write(await self.get(job.shard_id, job.job_id))
 
     async def update(
         self,
@@ -244,26 +266,63 @@
         if not job.result_key:
             return result.Ok(job.result or b'')
         answer = await self._store.get(job.result_key)
-        return answer.map(lambda entry: (entry and entry.value) or b'')
+        if isinstance(answer, result.Err):
+            return answer
+        entry = answer.ok_value
+        if entry is None or entry.value is None:
+            # It was stored before the record that refers to it.
+            return result.Err(
+                _Error(store.StoreFault.UNAVAILABLE, 'a read is stale')
+            )
+        return result.Ok(entry.value)
 
 
-def _require_value(value: typing.Any) -> result.Result[typing.Any, _Error]:
-    if value is None:
-        # The key was deleted between the conflict and the second read.
-        return result.Err(_Error(store.StoreFault.CONFLICT, 'deleted'))
-    return result.Ok(value)
+def _found_by_write(
+    answer: result.Result[typing.Any, _Error],
+) -> result.Result[typing.Any, _Error]:
+    """Return the value whose presence made a write fail.
+
+    That it exists remains known if the read fails or is stale, so the outcome
+    of the caller's request is then unknown.
+    """
+    if isinstance(answer, result.Err):
+        detail = f'exists; reading it failed: {answer.err_value.detail}'
+        return result.Err(_Error(store.StoreFault.UNKNOWN, detail))
+    if answer.ok_value is None:
+        return result.Err(_Error(store.StoreFault.UNKNOWN, 'a read is stale'))
+    return answer
 
 
-def _decode_key(value: bytes) -> record.KeyRecord:
-    return msgspec.msgpack.decode(value, type=record.KeyRecord)
+def _is_binding(write_id: str, value: bytes) -> bool:
+    try:
+        return record.decode_key(value).write_id == write_id
+    except msgspec.DecodeError:
+        return False
 
 
 def _contains_write(write_id: str, value: bytes) -> bool:
-    return write_id in record.decode(value).writes
+    try:
+        return write_id in record.decode(value).writes
+    except msgspec.DecodeError:
+        return False
 
 
 def _decode_stored(entry: store.Entry) -> StoredJob:
-    return StoredJob(record.decode(entry.value or b''), entry.revision)
+    decoded = record.decode(entry.value or b'')
+    if record.store_key(decoded.shard_id, decoded.job_id) != entry.key:
+        raise msgspec.ValidationError('the record of another job')
+    return StoredJob(decoded, entry.revision)
+
+
+def _decode(
+    entry: store.Entry,
+    decode: typing.Callable[[store.Entry], _Value],
+) -> result.Result[_Value, _Error]:
+    try:
+        return result.Ok(decode(entry))
+    except msgspec.DecodeError as error:
+        detail = f'{entry.key} can not be used: {error}'
+        return result.Err(_Error(store.StoreFault.UNKNOWN, detail))
 
 
 def _batch(page: store.Page) -> Batch:
@@ -283,4 +342,4 @@
     return Batch(tuple(jobs), last_key, page.revision)
 
 
-__all__ = ('Batch', 'JobRepository', 'PAGE_LIMIT', 'StoredJob')
+__all__ = ('Batch', 'Binding', 'JobRepository', 'PAGE_LIMIT', 'StoredJob')
--- a/src/nutmegworks/jobs/service.py
+++ b/src/nutmegworks/jobs/service.py
@@ -6,6 +6,7 @@
 import typing
 
 import curio
+import msgspec
 import result
 
 from nutmegworks.adapters import store
@@ -95,21 +96,60 @@
             this key before.
         """
         job_id = record.job_id(team_id, key)
-        shard_id = self._choose_shard(spec)
-        if shard_id is None:
-            return result.Err(_never_fits(spec))
-        requested = record.KeyRecord(team_id, key, shard_id, body_digest, '')
-        binding = await self._jobs.bind_key(job_id, requested)
-        if isinstance(binding, result.Err):
-            return result.Err(_refusal(binding.err_value, first_attempt))
-        if not _same_request(binding.ok_value, requested):
+        requested = record.KeyRecord(
+            team_id, key, ids.ShardId(''), body_digest, ''
+        )
+        bound = await self._bind(job_id, requested, spec, first_attempt)
+        if isinstance(bound, result.Err):
+            return bound
+        binding = bound.ok_value
+        if not _same_request(binding.record, requested):
             return result.Err(_key_reused())
-        job = self._new_record(job_id, binding.ok_value, work_class, spec)
+        job = self._new_record(job_id, binding.record, work_class, spec)
         stored = await self._jobs.create(job)
         if isinstance(stored, result.Err):
-            return result.Err(_refusal(stored.err_value, first_attempt))
+            # The attempt that bound the key may have created the record.
+            is_alone = first_attempt and binding.is_new
+            return result.Err(_refusal(stored.err_value, is_alone))
         return result.Ok(job_id)
 
+    async def _bind(
+        self,
+        job_id: ids.JobId,
+        requested: record.KeyRecord,
+        spec: work.JobSpec,
+        first_attempt: bool,
+    ) -> result.Result[repository.Binding, _Error]:
+        """Bind a key to the shard for its job, or return its binding.
+
+        :param requested: without a shard.
+        """
+        shard_id = self._choose_shard(spec)
+        if shard_id is None:
+            return await self._find_binding(job_id, spec, first_attempt)
+        with_shard = msgspec.structs.replace(requested, shard_id=shard_id)
+        bound = await self._jobs.bind_key(job_id, with_shard)
+        return bound.map_err(lambda error: _refusal(error, first_attempt))
+
+    async def _find_binding(
+        self,
+        job_id: ids.JobId,
+        spec: work.JobSpec,
+        first_attempt: bool,
+    ) -> result.Result[repository.Binding, _Error]:
+        """Return the binding of a job that fits in no failure domain now.
+
+        It may have fitted when an earlier attempt was accepted.
+        """
+        if first_attempt:
+            return result.Err(_never_fits(spec, verdict.did_not_run))
+        found = await self._jobs.get_key(job_id)
+        if isinstance(found, result.Err):
+            return result.Err(_refusal(found.err_value, first_attempt))
+        if found.ok_value is None:
+            return result.Err(_never_fits(spec, verdict.may_have_run))
+        return result.Ok(repository.Binding(found.ok_value, False))
+
     def _new_record(
         self,
         job_id: ids.JobId,
@@ -152,23 +192,23 @@
         :param seconds: at most MAX_WAIT_SECONDS.
         """
         deadline = time.monotonic() + min(seconds, MAX_WAIT_SECONDS)
+        latest: repository.StoredJob | None = None
         while True:
             read_result = await self._read(job_id)
             remaining = deadline - time.monotonic()
-            ended = read_result.is_ok() and read_result.ok_value.record.final
+            latest = _latest(latest, read_result)
+            ended = latest is not None and latest.record.final
             if ended or remaining <= 0 or self._stopping.is_set():
                 break
-            if read_result.is_ok():
-                await self._watch_until_stopping(
-                    read_result.ok_value, remaining
-                )
-            elif read_result.err_value.reason is verdict.Reason.NOT_FOUND:
+            if latest is not None and read_result.is_ok():
+                await self._watch_until_stopping(latest, remaining)
+            elif latest is None and _is_not_found(read_result.err_value):
                 break
             else:
                 await curio.sleep(min(remaining, RETRY_SECONDS))
-        if isinstance(read_result, result.Err):
-            return read_result
-        return await self._view(read_result.ok_value.record)
+        if latest is not None:
+            return await self._view(latest.record)
+        return result.Err(read_result.err_value)
 
     async def cancel(
         self,
@@ -236,7 +276,7 @@
         if isinstance(answer, result.Err):
             return result.Err(_refusal(answer.err_value, False))
         if answer.ok_value is None:
-            return result.Err(_not_found())
+            return result.Err(not_found())
         return result.Ok(answer.ok_value)
 
     async def _get_shard_id(
@@ -250,7 +290,7 @@
         if isinstance(answer, result.Err):
             return result.Err(_refusal(answer.err_value, False))
         if answer.ok_value is None:
-            return result.Err(_not_found())
+            return result.Err(not_found())
         if len(self._shard_id_by_job) >= MAX_CACHED_SHARDS:
             self._shard_id_by_job.pop(next(iter(self._shard_id_by_job)))
         shard_id = answer.ok_value.shard_id
@@ -284,7 +324,7 @@
         if job.state is _STATE.DONE:
             answer = await self._jobs.get_result(job)
             if isinstance(answer, result.Err):
-                return result.Err(_refusal(answer.err_value, False))
+                return result.Err(_result_unreachable(answer.err_value))
             value = answer.ok_value
         return result.Ok(
             JobView(
@@ -315,6 +355,23 @@
         return '\n'.join(lines)
 
 
+def _latest(
+    earlier: repository.StoredJob | None,
+    read_result: result.Result[repository.StoredJob, _Error],
+) -> repository.StoredJob | None:
+    """Return the latest version that was read; a later read may be stale."""
+    if isinstance(read_result, result.Err):
+        return earlier
+    current = read_result.ok_value
+    if earlier is not None and earlier.revision > current.revision:
+        return earlier
+    return current
+
+
+def _is_not_found(refusal: _Error) -> bool:
+    return refusal.reason is verdict.Reason.NOT_FOUND
+
+
 def _same_request(
     binding: record.KeyRecord,
     requested: record.KeyRecord,
@@ -324,8 +381,11 @@
     )
 
 
-def _never_fits(spec: work.JobSpec) -> _Error:
-    return verdict.did_not_run(
+def _never_fits(
+    spec: work.JobSpec,
+    refuse: typing.Callable[[verdict.Reason, str], _Error],
+) -> _Error:
+    return refuse(
         verdict.Reason.NEVER_FITS,
         f'{spec.shape} fits in no failure domain',
     )
@@ -362,8 +422,21 @@
     )
 
 
-def _not_found() -> _Error:
-    return verdict.did_not_run(verdict.Reason.NOT_FOUND, 'no such job')
+def _result_unreachable(error: store.StoreError) -> _Error:
+    return verdict.Refusal(
+        verdict.Verdict.RAN,
+        verdict.Reason.STORE_UNAVAILABLE,
+        f'the job has run; its result cannot be read now: {error.detail}',
+        RETRY_SECONDS,
+    )
+
+
+def not_found() -> _Error:
+    """Return the refusal of a call about a job that the store lacks.
+
+    The read may be stale, so the job may exist.
+    """
+    return verdict.may_have_run(verdict.Reason.NOT_FOUND, 'no such job')
 
 
 __all__ = (
@@ -373,4 +446,5 @@
     'JobView',
     'MAX_CANCEL_ATTEMPTS',
     'MAX_WAIT_SECONDS',
+    'not_found',
 )
--- a/tests/claims/test_service.py
+++ b/tests/claims/test_service.py
@@ -5,6 +5,7 @@
 import result
 
 from nutmegworks.claims import answers
+from nutmegworks.claims import batcher
 from nutmegworks.claims import forwarder
 from nutmegworks.claims import key
 from nutmegworks.claims import preferred
@@ -27,6 +28,7 @@
 
     :ivar lose_replies: whether the reply is lost after the other daemon has
         handled the operation.
+    :ivar forwards: whether operations reach the other daemon.
     :ivar paused: whether the other daemon handles operations only later, when
         ``resume`` is called.
     """
@@ -35,6 +37,7 @@
         self.service_by_id: dict = {}
         self.calls = 0
         self.lose_replies = False
+        self.forwards = True
         self.paused = False
         self._delayed: list = []
 
@@ -46,6 +49,8 @@
 
     async def forward(self, member_id, operation, *, timeout):
         self.calls += 1
+        if not self.forwards:
+            return result.Err(forwarder.ForwardError('cut off', sent=False))
         if self.paused:
             self._delayed.append((member_id, operation))
             return result.Err(forwarder.ForwardError('timeout', sent=True))
@@ -87,9 +92,10 @@
     )
 
 
-async def wait(daemon, body=BODY, timeout=2.0):
+async def wait(daemon, body=BODY, timeout=2.0, *, first=False):
+    number = 1 if first else 2
     return await daemon.claim_or_wait(
-        KEY, 'north', body, attempt_number=2, timeout=timeout
+        KEY, 'north', body, attempt_number=number, timeout=timeout
     )
 
 
@@ -147,6 +153,49 @@
     run(scenario)
 
 
+def test_first_attempt_beside_a_known_other_may_have_run() -> None:
+    """A failed read must not hide a claim that an earlier read has shown.
+
+    The caller's second attempt was granted before its delayed first one.
+    """
+
+    async def scenario(backing, messages, one, two) -> None:
+        assert (await claim(one, first=False)).is_ok()
+        await curio.sleep(2 * batcher.LOOK_UP_MAX_AGE_SECONDS)
+        backing.down = True
+        delayed = await claim(one)
+        assert delayed.err_value.reason is verdict.Reason.STORE_UNAVAILABLE
+        assert delayed.err_value.verdict is MAY_HAVE_RUN
+
+    run(scenario)
+
+
+def test_first_attempt_that_waited_for_another_may_have_run() -> None:
+    """A key that expires while another attempt holds it may have run."""
+
+    async def scenario(backing, messages, one, two) -> None:
+        assert (await claim(one, first=False)).is_ok()
+        waiting = await curio.spawn(lambda: wait(two, first=True))
+        await curio.sleep(0.05)
+        one._wall_clock = lambda: 10.0 * (EPOCH + key.EPOCH_SLOTS)
+        assert (await claim(one, text=_same_shard_an_hour_later())).is_ok()
+        refused = (await waiting.join()).err_value
+        assert refused.reason is verdict.Reason.KEY_EXPIRED
+        assert refused.verdict is MAY_HAVE_RUN
+
+    run(scenario)
+
+
+def _same_shard_an_hour_later() -> str:
+    """Return a key whose claim replaces the record of ``KEY``."""
+    shard = key.parse(KEY, 'north').unwrap().shard
+    texts = (f'{EPOCH + key.EPOCH_SLOTS}-{number}' for number in range(99))
+    return next(
+        text for text in texts
+        if key.parse(text, 'north').unwrap().shard == shard
+    )
+
+
 def test_unconfirmed_claim_is_not_granted_and_is_released(
     monkeypatch,
 ) -> None:
@@ -258,14 +307,8 @@
 
     async def scenario(backing, messages, one, two) -> None:
         granted = await claim(one)
-        later = f'{EPOCH + key.EPOCH_SLOTS}-'
         two._wall_clock = lambda: 10.0 * (EPOCH + key.EPOCH_SLOTS)
-        shard = key.parse(KEY, 'north').unwrap().shard
-        same_shard = next(
-            text for text in (f'{later}{number}' for number in range(99))
-            if key.parse(text, 'north').unwrap().shard == shard
-        )
-        assert (await claim(two, text=same_shard)).is_ok()
+        assert (await claim(two, text=_same_shard_an_hour_later())).is_ok()
         expired = await claim(two, first=False)
         assert expired.err_value.reason is verdict.Reason.KEY_EXPIRED
         assert expired.err_value.verdict is MAY_HAVE_RUN
@@ -274,6 +317,44 @@
     run(scenario)
 
 
+def test_outcome_is_stored_despite_a_stale_read() -> None:
+    """A retry must get the response of an attempt that has ended.
+
+    The preferred daemon reads the record as it was before the claim.
+    """
+    kept = answers.Answer('text/plain', b'route 7')
+
+    async def scenario(backing, messages, one, two) -> None:
+        preferred_daemon, other = _order_by_preference(one, two)
+        record_key = key.parse(KEY, 'north').unwrap().record_key
+        other_key = _other_key_of_the_record()
+        assert (await claim(preferred_daemon, text=other_key)).is_ok()
+        outdated = backing.peek(record_key)
+        messages.forwards = False
+        granted = await claim(other, first=False)
+        messages.forwards = True
+        for daemon in (preferred_daemon, other):
+            shard = key.parse(KEY, 'north').unwrap().shard
+            daemon._batcher_by_shard[shard]._cached_by_slot.clear()
+        backing.stale_by_key[record_key] = outdated
+        await finish(other, granted, record.State.RAN, kept)
+        await curio.sleep(0.5)
+        retried = await wait(preferred_daemon, BODY, 0.5)
+        assert retried.ok_value == service.Finished(kept)
+
+    run(scenario, forwarding=True)
+
+
+def _other_key_of_the_record() -> str:
+    """Return another key with the same record as ``KEY``."""
+    shard = key.parse(KEY, 'north').unwrap().shard
+    texts = (f'{EPOCH}-other-{number}' for number in range(99))
+    return next(
+        text for text in texts
+        if key.parse(text, 'north').unwrap().shard == shard
+    )
+
+
 def test_lost_forward_is_retried_locally_with_one_grant() -> None:
     """A lost message between daemons must not lose or double the claim."""
 
--- a/tests/jobs/test_controller.py
+++ b/tests/jobs/test_controller.py
@@ -4,7 +4,9 @@
 import typing
 
 import curio
+import msgspec
 import pytest
+import result
 
 from nutmegworks.adapters import store
 from nutmegworks.adapters import workers
@@ -23,6 +25,7 @@
 from tests.jobs import fakes
 
 STATE = record.JobState
+NOT_SENT = workers.WorkerFault.NOT_SENT
 STAGED_LEASE_SECONDS = 2.4
 RUNNING_LEASE_SECONDS = 1.2
 RENEW_INTERVAL_SECONDS = 0.3
@@ -261,6 +264,31 @@
     assert records.is_outdated(old) and records.is_outdated(new)
 
 
+@pytest.mark.parametrize('members', [None, ()])
+def test_committed_record_without_members_blocks_no_other(members) -> None:
+    """A record that can't be adopted must not end the owner."""
+
+    async def main() -> None:
+        async with fakes.serve_cluster() as cluster:
+            odd = builders.job_record('1-odd')
+            run = members if members is None else record.Run(
+                run_id=record.run_id(odd.job_id, 1),
+                attempt=1,
+                fencing_token=ids.FencingToken(1),
+                members=members,
+                commit_id='c',
+                committed_at=1.0,
+            )
+            await cluster.jobs.create(
+                msgspec.structs.replace(odd, state=STATE.COMMITTED, run=run)
+            )
+            await cluster.start_owner(1)
+            view = await cluster.wait_until_ended(await cluster.accept())
+            assert view.state is STATE.DONE
+
+    helpers.run(main)
+
+
 def test_task_of_unknown_run_is_stopped() -> None:
     """A reservation of a dead owner must not block a worker for long."""
 
@@ -307,6 +335,40 @@
     helpers.run(main)
 
 
+def test_worker_dies_after_a_go_that_was_sent_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A job that is not idempotent must not run twice.
+
+    The first ``go`` to each worker finds it unreachable; the next one starts
+    the task.
+    """
+    refused: set[tuple[str, int]] = set()
+    send = workers.HttpWorkerClient.send
+
+    async def send_unless_refused(self, address, order):
+        if order.step is workers.Step.GO and address not in refused:
+            refused.add(address)
+            return result.Err(workers.WorkerError(NOT_SENT))
+        return await send(self, address, order)
+
+    monkeypatch.setattr(workers.HttpWorkerClient, 'send', send_unless_refused)
+
+    async def main() -> None:
+        async with fakes.serve_cluster() as cluster:
+            await cluster.start_owner(1)
+            job_id = await cluster.accept(seconds=2.0, idempotent=False)
+            await curio.sleep(1.0)
+            assert cluster.executions()
+            dead = worker_stand_in.Faults(dead=True)
+            cluster.worker_by_id['w0'].set_faults(dead)
+            view = await cluster.wait_until_ended(job_id)
+            assert len({run.run_id for _, run in cluster.executions()}) == 1
+            assert view.state is STATE.MAY_HAVE_RUN
+
+    helpers.run(main)
+
+
 @pytest.mark.parametrize(
     'faults',
     [
--- a/tests/jobs/test_service.py
+++ b/tests/jobs/test_service.py
@@ -5,13 +5,16 @@
 import curio
 import pytest
 
+from nutmegworks.adapters import store
 from nutmegworks.jobs import record
+from nutmegworks.jobs import repository
 from nutmegworks.jobs import service
 from nutmegworks.model import ids
 from nutmegworks.model import verdict
 from tests import builders
 from tests import helpers
 from tests.jobs import fakes
+from tests import memory_store
 
 STATE = record.JobState
 TEAM = ids.TeamId('north')
@@ -81,6 +84,132 @@
     helpers.run(main)
 
 
+class DownAfterConflict(memory_store.MemoryStore):
+    """A store that goes down after it has refused a write."""
+
+    async def put(self, key, value, *, expected, lease_id=None):
+        answer = await super().put(key, value, expected=expected)
+        conflict = store.StoreFault.CONFLICT
+        if answer.is_err() and answer.err_value.fault is conflict:
+            self.down = True
+        return answer
+
+
+def make_service(backend: store.Store, shard: str = 'amman-north'):
+    return service.JobService(
+        repository.JobRepository(backend),
+        choose_shard=lambda spec: ids.ShardId(shard) if shard else None,
+    )
+
+
+async def accept_by(
+    jobs: service.JobService,
+    *,
+    first_attempt: bool = False,
+):
+    return await jobs.accept(
+        TEAM,
+        builders.work_class(),
+        builders.job_spec(),
+        KEY,
+        'digest',
+        first_attempt=first_attempt,
+    )
+
+
+def test_first_attempt_that_finds_the_job_stored_may_have_run() -> None:
+    """A failed read must not hide that the write found the job stored.
+
+    The caller's second attempt overtook the first one.
+    """
+
+    async def main() -> None:
+        backend = DownAfterConflict()
+        assert (await accept_by(make_service(backend))).is_ok()
+        late = await accept_by(make_service(backend), first_attempt=True)
+        assert backend.down
+        assert late.err_value.verdict is verdict.Verdict.MAY_HAVE_RUN
+
+    helpers.run(main)
+
+
+def test_first_attempt_that_finds_the_key_bound_may_have_run() -> None:
+    """A refused write must not hide that another attempt bound the key."""
+
+    async def main() -> None:
+        backend = memory_store.MemoryStore()
+        assert (await accept_by(make_service(backend))).is_ok()
+        backend.faults.append(memory_store.Fault.DOWN)
+        late = await accept_by(make_service(backend), first_attempt=True)
+        assert late.err_value.verdict is verdict.Verdict.MAY_HAVE_RUN
+
+    helpers.run(main)
+
+
+def test_job_that_no_longer_fits_is_still_accepted() -> None:
+    """A retry must not be told that an accepted job did not run."""
+
+    async def main() -> None:
+        backend = memory_store.MemoryStore()
+        without_room = make_service(backend, '')
+        first = await accept_by(without_room, first_attempt=True)
+        assert first.err_value.verdict is verdict.Verdict.DID_NOT_RUN
+        retry = await accept_by(without_room)
+        assert retry.err_value.reason is verdict.Reason.NEVER_FITS
+        assert retry.err_value.verdict is verdict.Verdict.MAY_HAVE_RUN
+        accepted = await accept_by(make_service(backend))
+        assert await accept_by(without_room) == accepted
+
+    helpers.run(main)
+
+
+def test_stale_read_does_not_hide_a_job_that_was_seen() -> None:
+    """A waiting caller must not be told that a running job did not run."""
+
+    async def main() -> None:
+        async with fakes.serve_cluster(count=0) as cluster:
+            job_id = (await accept(cluster)).ok_value
+            waiting = await curio.spawn(cluster.service.wait, job_id, 1.0)
+            await curio.sleep(0.2)
+            cluster.store.faults.stale_reads = 1000
+            stored = (await cluster.jobs.get(fakes.SHARD, job_id)).ok_value
+            assert stored is None
+            view = (await waiting.join()).ok_value
+            assert view.state is STATE.ACCEPTED
+            unseen = (await cluster.service.wait(job_id, 0.0)).err_value
+            assert unseen.reason is verdict.Reason.NOT_FOUND
+            assert unseen.verdict is verdict.Verdict.MAY_HAVE_RUN
+
+    helpers.run(main)
+
+
+@pytest.mark.parametrize('down', [True, False])
+def test_job_whose_result_is_not_readable_has_run(down: bool) -> None:
+    """A failed or stale read must not turn a result into another answer."""
+
+    async def main() -> None:
+        backend = memory_store.MemoryStore()
+        jobs = repository.JobRepository(backend)
+        accepting = make_service(backend)
+        job_id = (await accept_by(accepting)).ok_value
+        stored = (await jobs.get(fakes.SHARD, job_id)).ok_value
+        for state in (STATE.COMMITTED, STATE.DONE):
+            changes = {'state': state, 'result_key': 'answers/jobs/x'}
+            stored = (await jobs.update(stored, **changes)).ok_value
+        get = backend.get
+
+        async def get_result_later(key):
+            backend.down = down and key == 'answers/jobs/x'
+            return await get(key)
+
+        backend.get = get_result_later
+        refused = (await accepting.wait(job_id, 0.0)).err_value
+        assert refused.reason is verdict.Reason.STORE_UNAVAILABLE
+        assert refused.verdict is verdict.Verdict.RAN
+
+    helpers.run(main)
+
+
 def test_waiting_uses_few_reads_and_ends_on_stop() -> None:
     """Waiting callers must not overload the store or delay a stop."""
 
