--- a/src/nutmegworks/adapters/hosts.py
+++ b/src/nutmegworks/adapters/hosts.py
@@ -12,6 +12,7 @@
 import result
 
 from nutmegworks.model import decoding
+from nutmegworks.model import documents
 from nutmegworks.model import ids
 from nutmegworks.model import shape
 from nutmegworks.net import client
@@ -19,7 +20,6 @@
 from nutmegworks.net import pool
 
 LIST_TIMEOUT_SECONDS = 1.0
-MAX_PORT: typing.Final = 65535
 
 _log = logbook.Logger(__name__)
 
@@ -145,13 +145,8 @@
     >>> parse_address('127.0.0.1:80')
     ('127.0.0.1', 80)
     """
-    host, _, port = text.rpartition(':')
-    address = ipaddress.ip_address(host)
-    if not port.isascii() or not port.isdigit():
-        raise ValueError(f'{port!r} is not a port number')
-    if not 0 < int(port) <= MAX_PORT:
-        raise ValueError(f'port {port} is out of range')
-    return str(address), int(port)
+    host, port = documents.parse_address(text)
+    return str(ipaddress.ip_address(host)), port
 
 
 __all__ = (
--- a/src/nutmegworks/model/documents.py
+++ b/src/nutmegworks/model/documents.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from nutmegworks.model import decoding
+
 # The largest integer up to which floats represent all integers exactly.
 MAX_EXACT_INTEGER: typing.Final = 2**53
 # Unix milliseconds, in the year 2286: later times are mistakes of the writer.
@@ -48,9 +50,8 @@
         type.
     """
     try:
-        return msgspec.json.decode(data, type=document)
-    except RecursionError:
-        raise DocumentError('nested too deeply') from None
+        with decoding.nesting_limit():
+            return msgspec.json.decode(data, type=document)
     except (msgspec.MsgspecError, ValueError, OverflowError) as error:
         detail = str(error)[:_MAX_DETAIL_CHARACTERS]
         raise DocumentError(detail) from None
