--- a/tests/policy/test_planner_reference.py
+++ b/tests/policy/test_planner_reference.py
@@ -23,7 +23,6 @@
     st.tuples(st.floats(0.0, 9.0), st.integers(1, 4)), max_size=6
 )
 
-
 # Of an example, which plans a few demands; Hypothesis's own limit, but of
 # processor time, so that other work on the machine does not count.
 EXAMPLE_SECONDS: typing.Final = 0.2
