fleet: stop the runs of ended jobs in every term

Cause: that a run is being stopped was known only to the leader that decided it. The next one adopted the run, and finish() returned early as the job was final already. A run of an unknown job was listed and left alone, since no step could be named for it. An answered stop request was never repeated, though a worker that starts anew may carry out a late start request. A final job could be forgotten before its runs had ended.

Change: policy.run_stops decides from stored records and reports. A leader stops the runs that it adopts if their job has ended, their task is done or their gang lacks members. Runs of unknown, removed or unreadable jobs are stopped, and fill their worker until they have ended. A job is kept until its runs have ended.

The whole suite was not run here.

--- a/src/nutmegworks/fleet/leader.py
+++ b/src/nutmegworks/fleet/leader.py
@@ -23,6 +23,7 @@
 from nutmegworks.fleet import worker_session
 from nutmegworks.model import documents
 from nutmegworks.model import ids
+from nutmegworks.policy import run_stops
 from nutmegworks.policy import task_planning
 from nutmegworks.tasks import records
 from nutmegworks.telemetry import fleetmetrics
@@ -307,10 +308,15 @@
                 time.time() - self._retention_seconds -
                 RETENTION_MARGIN_SECONDS
             )
+            ids_with_runs = self.state.jobs_with_runs()
             expired_ids = [
                 job_id for job_id, job in self.state.jobs_by_id.items()
-                if records.IS_FINAL[job.stored_state]
-                and job.progress.ended_at < cutoff
+                if run_stops.may_forget(
+                    records.IS_FINAL[job.stored_state],
+                    job.progress.ended_at,
+                    cutoff,
+                    job_id in ids_with_runs,
+                )
             ]
             for job_id in expired_ids:
                 del self.state.jobs_by_id[job_id]
--- a/src/nutmegworks/fleet/reports.py
+++ b/src/nutmegworks/fleet/reports.py
@@ -10,7 +10,9 @@
 from nutmegworks.fleet import table
 from nutmegworks.fleet import worker as fleet_worker
 from nutmegworks.fleet import worker_session
+from nutmegworks.policy import run_stops
 from nutmegworks.tasks import records
+from nutmegworks.tasks import spec
 from nutmegworks.tasks import workers
 
 _LOG: typing.Final = logbook.Logger('reports')
@@ -54,7 +56,7 @@
         reported = set()
         for status in report.running:
             reported.add((status.task, status.run))
-            self._apply_status(worker, status, now)
+            self._apply_status(worker, status, sent_at, now)
         for run in list(worker.runs_by_key.values()):
             if run.key not in reported and _must_be_reported(run, sent_at):
                 self._state.lose_run(
@@ -85,7 +87,9 @@
         # The start requests of the others may have reached the new
         # incarnation. Its reports tell whether they did.
         for run in worker.runs_by_key.values():
-            run.incarnation = report.incarnation
+            if run.incarnation != report.incarnation:
+                run.incarnation = report.incarnation
+                self._state.repeat_stop(run, 'worker restarted')
 
     async def handle_lease_expiry(self, worker: fleet_worker.Worker) -> None:
         now = membership.steady_clock()
@@ -105,6 +109,7 @@
         self,
         worker: fleet_worker.Worker,
         status: workers.RunStatus,
+        sent_at: float,
         now: float,
     ) -> None:
         run = worker.runs_by_key.get((status.task, status.run))
@@ -117,6 +122,9 @@
         if run.phase in (table.RunPhase.ORDERED, table.RunPhase.ADOPTED):
             run.phase = table.RunPhase.RUNNING
             run.confirmed_at = now
+        elif (run.phase is table.RunPhase.STOPPING
+              and run_stops.must_repeat_stop(run.confirmed_at, sent_at)):
+            self._state.repeat_stop(run, 'still listed')
 
     def _stop_unrecorded_run(
         self,
@@ -124,7 +132,10 @@
         status: workers.RunStatus,
         now: float,
     ) -> None:
-        """Stop a run without a record; count its resources until it ends."""
+        """Stop a run without a record; count its resources until it ends.
+
+        If its job is not known, it may use all of its worker.
+        """
         job = self._state.jobs_by_id.get(status.task.job_id)
         step = None if job is None else job.step_of(status.task)
         _LOG.warning(
@@ -134,22 +145,21 @@
             worker=worker.worker_id,
             known_job=job is not None,
         )
-        if step is None or job is None or worker.incarnation is None:
-            # Without its job or step no stop request can be sent. The run
-            # continues until it ends by itself or the worker's lease, which
-            # covers all runs, expires.
-            return
+        assert worker.incarnation is not None
+        if step is None:
+            step = spec.Step(status.task.step, 1, worker.entry.resources)
         run = table.Run(
             status.task,
             status.run,
             worker.worker_id,
             worker.incarnation,
             step,
-            job.accepted.priority,
+            0 if job is None else job.accepted.priority,
             table.RunPhase.RUNNING,
             now,
             sent=True,
         )
+        run.record_progress(status.percent, status.checkpoint, now)
         self._state.add_run(job, run)
         self._state.stop_run(run, 'no record')
 
--- a/src/nutmegworks/fleet/state.py
+++ b/src/nutmegworks/fleet/state.py
@@ -13,6 +13,7 @@
 from nutmegworks.fleet import worker as fleet_worker
 from nutmegworks.model import ids
 from nutmegworks.policy import crash_limit
+from nutmegworks.policy import run_stops
 from nutmegworks.policy import task_durations
 from nutmegworks.policy import worker_health
 from nutmegworks.policy import worker_speeds
@@ -231,6 +232,37 @@
         self.metrics.stops.inc({})
         self.runs_to_stop.append(run)
 
+    def repeat_stop(self, run: table.Run, reason: str) -> None:
+        """Request again the stop of a run that may not have ended.
+
+        It has no effect while the last request is still being sent.
+        """
+        if (run.released or run.phase is not table.RunPhase.STOPPING
+                or run.confirmed_at is None):
+            return
+        _LOG.info(
+            'stopping a run again',
+            task=run.task.name,
+            run=run.number,
+            worker=run.worker_id,
+            reason=reason,
+        )
+        run.confirmed_at = None
+        self.runs_to_stop.append(run)
+
+    def jobs_with_runs(self) -> set[ids.JobId]:
+        """Return the jobs of all runs that have not ended."""
+        job_ids = {
+            run.task.job_id
+            for worker in self.workers_by_id.values()
+            for run in worker.runs_by_key.values()
+        }
+        job_ids.update(
+            job_id for job_id, job in self.jobs_by_id.items()
+            if job.runs_by_task
+        )
+        return job_ids
+
     def stop_gang(self, run: table.Run, reason: str) -> None:
         """Stop the other members of a run's gang."""
         if not run.step.gang:
@@ -286,7 +318,10 @@
         progress: records.Progress | None,
         sequence: int,
     ) -> table.Job:
-        """Add an accepted job and adopt its runs of an earlier leader."""
+        """Add an accepted job and adopt its runs of an earlier leader.
+
+        Those that the earlier leader was to stop are stopped.
+        """
         age = min(60.0, max(0.0, time.time() - accepted.accepted_at))
         now = membership.steady_clock()
         job = table.Job(
@@ -304,6 +339,9 @@
             self._adopt(job, name, assignment)
         if job_id in self.cancelled_ids:
             self.finish(job, records.JobState.CANCELLED)
+        for run in list(job.runs_by_task.values()):
+            if run_stops.must_stop(_stored_run(job, run)):
+                self.stop_run(run, 'an earlier leader was to stop it')
         return job
 
     def _adopt(
@@ -429,6 +467,23 @@
         )
 
 
+def _stored_run(job: table.Job, run: table.Run) -> run_stops.StoredRun:
+    done = job.done(run.task.occurrence, run.task.step)
+    members = [
+        other.number
+        for other in job.runs_by_task.values()
+        if (other.task.occurrence,
+            other.task.step) == (run.task.occurrence, run.task.step)
+    ]
+    return run_stops.StoredRun(
+        job_ended=job.final,
+        task_done=run.task.index in done,
+        gang_incomplete=(
+            run.step.gang and run_stops.is_incomplete(members, run.step.count)
+        ),
+    )
+
+
 def _is_comparable(worker: fleet_worker.Worker, run: table.Run) -> bool:
     """Return whether a run's pace tells the speed of its worker.
 
--- a/tests/fleet/memory.py
+++ b/tests/fleet/memory.py
@@ -238,9 +238,12 @@
     :ivar lease_by_id: end of the latest lease in milliseconds, by worker.
     :ivar lose_starts: number of next starts that take effect without an
         answer.
+    :ivar ignored_stops: number of next stops that are answered and have no
+        effect.
     """
 
     def __init__(self) -> None:
+        self.ignored_stops = 0
         self.unreachable: set[ids.WorkerId] = set()
         self.unheard: set[ids.WorkerId] = set()
         self.replaced: set[ids.WorkerId] = set()
@@ -303,6 +306,9 @@
             return result.Err(interfaces.CallError('silent'))
         if not self._accepts(worker_id, token):
             return result.Ok(False)
+        if self.ignored_stops:
+            self.ignored_stops -= 1
+            return result.Ok(True)
         self.end(worker_id, task, run, workers.EndKind.STOPPED)
         return result.Ok(True)
 
