fleet: remove a job together with its progress

Callers could see: a finished or cancelled job that runs again after a change of leader (read in the review, now shown by a test).

Cause: the keys of expired jobs were removed in transactions of 29 keys, progress first. Of ten jobs or more, the keys of some were split; a leader that ended between the two left a job and no progress, a new job for the next.

Change: the three keys of a job are removed in one transaction, nine jobs at a time. A new leader removes progress records whose jobs are not stored, one by one, if the job's key is still absent then. A conflict before the first write of the sequence key does not end the term any more if another condition was at fault.

Open: a duplicate submission that arrives after the removal is a new job for the next leader, as before.

--- a/src/nutmegworks/fleet/journal.py
+++ b/src/nutmegworks/fleet/journal.py
@@ -22,6 +22,10 @@
 # The store limits a transaction to 32 entries; two of them are the expected
 # revisions and one is the write of the sequence key.
 MAX_RECORDS: typing.Final = 29
+# All keys of a job are removed in one transaction: without its progress, its
+# tasks would start again after a change of leader.
+KEYS_OF_JOB: typing.Final = 3
+MAX_REMOVED_JOBS: typing.Final = MAX_RECORDS // KEYS_OF_JOB
 RETRY_SECONDS: typing.Final = 0.15
 
 
@@ -50,6 +54,7 @@
         self._dirty: dict[ids.JobId, None] = {}
         self._batch = curio.Event()
         self._batch_requested = curio.Event()
+        self._lock = curio.Lock()
 
     async def load(self) -> bool:
         """Read the sequence key; return whether the store answered."""
@@ -87,29 +92,54 @@
 
     async def _write(self, job_ids: typing.Sequence[ids.JobId]) -> None:
         writes = []
-        removed = []
+        removed_ids = []
         for job_id in job_ids:
             value = self._encode(job_id)
             if value is None:
-                removed += [
-                    records.progress_key(job_id),
-                    records.cancel_key(job_id),
-                    records.job_key(job_id),
-                ]
+                removed_ids.append(job_id)
                 continue
             writes.append(
                 interfaces.Write(records.progress_key(job_id), value)
             )
-        for start in range(0, len(removed), MAX_RECORDS):
-            await self._commit((), tuple(removed[start:start + MAX_RECORDS]))
+        for start in range(0, len(removed_ids), MAX_REMOVED_JOBS):
+            removed: list[str] = []
+            for job_id in removed_ids[start:start + MAX_REMOVED_JOBS]:
+                removed += _keys_of_job(job_id)
+            await self._commit((), tuple(removed))
         if writes:
             await self._commit(tuple(writes), ())
 
+    async def remove_orphan(self, job_id: ids.JobId) -> bool:
+        """Remove the progress of a job that is not stored any more.
+
+        :return: False if the job is stored; nothing is removed then.
+        :raise LeadershipLostError: another daemon has become the leader.
+        """
+        return await self._commit(
+            (),
+            (records.progress_key(job_id), ),
+            absent=(records.job_key(job_id), ),
+        )
+
     async def _commit(
         self,
         writes: tuple[interfaces.Write, ...],
         removed: tuple[str, ...],
-    ) -> None:
+        absent: tuple[str, ...] = (),
+    ) -> bool:
+        """Commit a transaction; return whether it took effect.
+
+        :param absent: keys that must not exist; if one does, it is given up.
+        """
+        async with self._lock:
+            return await self._commit_next(writes, removed, absent)
+
+    async def _commit_next(
+        self,
+        writes: tuple[interfaces.Write, ...],
+        removed: tuple[str, ...],
+        absent: tuple[str, ...],
+    ) -> bool:
         self._transaction_count += 1
         transaction_id = (
             f'{self._leadership.revision}:{self._transaction_count}'.encode()
@@ -120,6 +150,7 @@
                 {
                     records.LEADER_KEY: self._leadership.revision,
                     records.SEQUENCE_KEY: self._sequence,
+                    **dict.fromkeys(absent, interfaces.ABSENT),
                 },
                 writes,
                 removed,
@@ -134,9 +165,11 @@
             commit = result.ok_value
             if commit.outcome is interfaces.CommitOutcome.COMMITTED:
                 self._sequence = commit.revision
-                return
+                return True
             if self._already_committed(commit, transaction_id):
-                return
+                return True
+            if any(key in commit.current_by_key for key in absent):
+                return False
 
     def _already_committed(
         self, commit: interfaces.Commit, transaction_id: bytes
@@ -149,10 +182,21 @@
         if leader is None or leader.revision != self._leadership.revision:
             raise LeadershipLostError(records.LEADER_KEY)
         sequence = commit.current_by_key.get(records.SEQUENCE_KEY)
+        if sequence is None and self._sequence == interfaces.ABSENT:
+            # Nothing has been written yet; another condition did not hold.
+            return False
         if sequence is None:
             raise LeadershipLostError(records.SEQUENCE_KEY)
         self._sequence = sequence.revision
         return sequence.value == transaction_id
 
 
+def _keys_of_job(job_id: ids.JobId) -> tuple[str, ...]:
+    return (
+        records.job_key(job_id),
+        records.cancel_key(job_id),
+        records.progress_key(job_id),
+    )
+
+
 __all__ = ('Journal', 'LeadershipLostError')
--- a/src/nutmegworks/fleet/leader.py
+++ b/src/nutmegworks/fleet/leader.py
@@ -78,6 +78,9 @@
         self._sessions: dict[ids.WorkerId, curio.Task] = {}
         self.state = fleet_state.FleetState(metrics)
         self.loaded = False
+        # Jobs with a progress record that were not read; their own records
+        # are missing, or can't be decoded.
+        self._orphan_ids: set[ids.JobId] = set()
         self._journal = journals.Journal(store, leadership, self.state.encode)
         self._orders = fleet_orders.Orders(
             self.state,
@@ -149,6 +152,7 @@
         started_at: float,
     ) -> list[prefix_watcher.PrefixWatcher]:
         progress_by_id = await self._load_progress()
+        progress_ids = {*progress_by_id, *self.state.unreadable_ids}
         jobs = prefix_watcher.PrefixWatcher(
             self._store,
             records.JOBS_PREFIX,
@@ -168,6 +172,7 @@
                 await curio.sleep(RETRY_SECONDS)
         while not await self._journal.load():
             await curio.sleep(RETRY_SECONDS)
+        self._orphan_ids = progress_ids - self.state.jobs_by_id.keys()
         self.loaded = True
         _LOG.info(
             'leader loaded stored state',
@@ -300,8 +305,21 @@
             await self.state.notify()
             await curio.sleep(CLEANUP_INTERVAL_SECONDS)
 
+    async def _remove_orphans(self) -> None:
+        """Remove progress records whose jobs are not stored any more."""
+        for job_id in self._orphan_ids:
+            if await self._journal.remove_orphan(job_id):
+                _LOG.info('progress record without a job', job=job_id)
+                self.state.unreadable_ids.discard(job_id)
+                self.state.removed_ids.add(job_id)
+
     async def _clean_up(self) -> None:
         """Remove final jobs after their retention time, and former workers."""
+        try:
+            await self._remove_orphans()
+        except journals.LeadershipLostError as error:
+            await self._step_down(f'write refused: {error}')
+            return
         while True:
             await curio.sleep(CLEANUP_INTERVAL_SECONDS)
             cutoff = (
