policy: a failed worker is avoided, but never keeps a step from running

Seen: after one failed run on the only worker with the required label a job was never started again (LOST); a task that lasts likewise. Cause: workers on which a run of a job had failed were excluded for good, until they were more than half of all workers. Whether the others could run the step at all was not asked. Change: policy.worker_exclusion chooses the workers for each step. Among the usable workers that could run it (service, label, room without what tasks that last hold, limit per worker) the latest failed ones are excluded, at most half of them, as long as the others suffice for a task or the whole gang, and for at most 30 s. A worker is used again 2.5 s after a failure at the earliest (0.5 s by tasks that last), so that a worker that fails everything for 6.5 s does not use up four attempts even of a step that only it can run.

--- a/src/nutmegworks/fleet/reports.py
+++ b/src/nutmegworks/fleet/reports.py
@@ -219,7 +219,7 @@
         became_suspect = self._state.worker_health.record_failure(
             worker.worker_id, job.job_id, now
         )
-        job.failed_worker_ids.add(worker.worker_id)
+        job.failed_at_by_worker[worker.worker_id] = now
         if became_suspect:
             _LOG.warning('worker is suspect', worker=worker.worker_id)
         progress = job.progress
--- a/src/nutmegworks/fleet/scheduler.py
+++ b/src/nutmegworks/fleet/scheduler.py
@@ -1,6 +1,7 @@
 """Runs scheduling rounds over the leader's state and applies their plans."""
 from __future__ import annotations
 
+import dataclasses
 import functools
 import time
 import typing
@@ -19,6 +20,7 @@
 from nutmegworks.policy import task_placement
 from nutmegworks.policy import task_planning
 from nutmegworks.policy import task_preemption
+from nutmegworks.policy import worker_exclusion
 from nutmegworks.policy import worker_health
 from nutmegworks.tasks import records
 from nutmegworks.tasks import spec
@@ -77,7 +79,7 @@
     async def _round(self) -> None:
         now = membership.steady_clock()
         self._drain_leaving_workers(now)
-        waiting = list(self._demands(now))
+        waiting = self._exclude_failed_workers(self._demands(now), now)
         if waiting:
             plan = task_planning.plan(
                 waiting,
@@ -319,7 +321,6 @@
                 sequence=job.sequence,
                 service_id=ids.ServiceId(job.accepted.service),
                 team_id=ids.TeamId(job.accepted.team),
-                excluded_worker_ids=self._excluded_worker_ids(job),
                 used_by_worker=used,
                 expected=expected(step),
                 guaranteed=(
@@ -351,14 +352,60 @@
             },
         )
 
-    def _excluded_worker_ids(self, job: table.Job) -> frozenset[ids.WorkerId]:
-        """Return workers on which the job failed.
+    def _exclude_failed_workers(
+        self,
+        demands: typing.Iterable[task_demand.Demand],
+        now: float,
+    ) -> list[task_demand.Demand]:
+        """Return the demands with the workers to avoid after failures."""
+        usable: list[task_placement.WorkerCapacity] | None = None
+        waiting = []
+        for demand in demands:
+            failed_at = self._state.jobs_by_id[demand.job_id
+                                               ].failed_at_by_worker
+            if failed_at:
+                if usable is None:
+                    usable = self._usable_workers(now)
+                excluded_ids = worker_exclusion.choose(
+                    demand,
+                    {
+                        worker_id: now - failed
+                        for worker_id, failed in failed_at.items()
+                    },
+                    usable,
+                )
+                demand = dataclasses.replace(
+                    demand, excluded_worker_ids=excluded_ids
+                )
+            waiting.append(demand)
+        return waiting
 
-        Once they are more than half of all workers, none is excluded.
+    def _usable_workers(
+        self,
+        now: float,
+    ) -> list[task_placement.WorkerCapacity]:
+        """Return the workers to which a step can turn after a failure.
+
+        Their totals are without what tasks that last hold.
         """
-        if 2 * len(job.failed_worker_ids) > len(self._state.workers_by_id):
-            job.failed_worker_ids.clear()
-        return frozenset(job.failed_worker_ids)
+        usable_by_id = {
+            worker_id: worker
+            for worker_id, worker in self._state.workers_by_id.items()
+            if worker.usable(now)
+        }
+        suspect_ids = self._state.worker_health.suspects(
+            usable_by_id.keys(), now
+        )
+        usable = []
+        for worker_id, worker in usable_by_id.items():
+            if worker_id in suspect_ids:
+                continue
+            capacity = self._worker_capacity(worker, now)
+            for run in worker.runs_by_key.values():
+                if run.step.endless:
+                    capacity.total = capacity.total.minus(run.step.resources)
+            usable.append(capacity)
+        return usable
 
     def _drain_leaving_workers(self, now: float) -> None:
         """Stop runs that will not end before their worker has left."""
--- a/src/nutmegworks/fleet/table.py
+++ b/src/nutmegworks/fleet/table.py
@@ -151,8 +151,9 @@
         # Set when a final state is stored, so that clients may see it.
         self.final_state_stored = curio.Event()
         self.runs_by_task: dict[spec.TaskKey, Run] = {}
-        # Workers on which a run of the job failed; others are used instead.
-        self.failed_worker_ids: set[ids.WorkerId] = set()
+        # When a run of the job last failed on a worker, in seconds of
+        # membership.steady_clock; others are preferred for a time.
+        self.failed_at_by_worker: dict[ids.WorkerId, float] = {}
         # Seconds of membership.steady_clock before which no task of the job
         # starts.
         self.not_before = 0.0
--- a/src/nutmegworks/fleet/worker.py
+++ b/src/nutmegworks/fleet/worker.py
@@ -233,15 +233,18 @@
             free = free.minus(run.step.resources)
         return free
 
-    def available(self, now: float) -> bool:
-        """Return whether the worker may get work."""
+    def usable(self, now: float) -> bool:
+        """Return whether the worker may get work now or after its pause."""
         return (
             self.registered and self.entry.state is workers.WorkerState.READY
             and self.answered_at is not None and not self.silent
             and now - self.answered_at < MAX_ANSWER_AGE_SECONDS
-            and now >= self.paused_until
         )
 
+    def available(self, now: float) -> bool:
+        """Return whether the worker may get work."""
+        return self.usable(now) and now >= self.paused_until
+
 
 __all__ = (
     'LEASE_SECONDS',
--- a/src/nutmegworks/policy/task_demand.py
+++ b/src/nutmegworks/policy/task_demand.py
@@ -46,7 +46,8 @@
         full value.
     :param sequence: position in the order of acceptance.
     :param team_id: whose guarantee the tasks use at priority 0.
-    :param excluded_worker_ids: workers on which the job has failed.
+    :param excluded_worker_ids: workers that get none of the tasks now, because
+        the job has failed on them.
     :param used_by_worker: number of the step's tasks that already run on a
         worker.
     :param expected: seconds that each task is expected to take; the declared
