policy: lasting tasks do not keep a worker on probation

Seen: a worker that held a task that lasts and was suspended once never got work again (LOST). Cause: on probation a worker was left out while it had any run, and only a success ended the probation. Tasks that last never end. Change: on probation only runs that were ordered since the suspension count as the trial; those from before neither prevent nor decide it. The trial also ends when its run has been at work for 4 s: a task that lasts, or one whose percentage has risen, so that a stalled run does not count. Such an end does not shorten the next suspension. A failure on probation suspends for longer, as before. tests/policy/test_worker_health.py has a table of each state's exits. Read for states without an exit: failed_recently and paused_until end by time, unanswered_at by the next answer.

--- a/src/nutmegworks/fleet/reports.py
+++ b/src/nutmegworks/fleet/reports.py
@@ -237,7 +237,19 @@
         worker: fleet_worker.Worker,
         now: float,
     ) -> None:
-        """Make a worker a suspect if all of its runs have stalled."""
+        """Make a worker a suspect if all of its runs have stalled.
+
+        Runs that stay end its probation.
+        """
+        self._state.worker_health.record_running(
+            worker.worker_id,
+            [
+                run.first_percent_at
+                for run in worker.runs_by_key.values()
+                if run.phase is table.RunPhase.RUNNING and run.at_work
+            ],
+            now,
+        )
         running = [
             run for run in worker.runs_by_key.values()
             if run.phase is table.RunPhase.RUNNING and not run.step.endless
--- a/src/nutmegworks/fleet/scheduler.py
+++ b/src/nutmegworks/fleet/scheduler.py
@@ -21,7 +21,6 @@
 from nutmegworks.policy import task_planning
 from nutmegworks.policy import task_preemption
 from nutmegworks.policy import worker_exclusion
-from nutmegworks.policy import worker_health
 from nutmegworks.tasks import records
 from nutmegworks.tasks import spec
 from nutmegworks.tasks import workers
@@ -212,9 +211,10 @@
         return [
             self._worker_capacity(worker, now)
             for worker_id, worker in available_by_id.items()
-            if worker_id not in suspect_ids and not (
-                worker.runs_by_key and health.status(worker_id, now) is
-                worker_health.Health.PROBATION
+            if worker_id not in suspect_ids and health.accepts_probe(
+                worker_id,
+                (run.ordered_at for run in worker.runs_by_key.values()),
+                now,
             )
         ]
 
--- a/src/nutmegworks/fleet/table.py
+++ b/src/nutmegworks/fleet/table.py
@@ -92,6 +92,13 @@
         """Whether a report of its worker has listed the run."""
         return self.first_percent is not None
 
+    @property
+    def at_work(self) -> bool:
+        """Whether its reports show work; a task that lasts has no progress."""
+        return self.first_percent is not None and (
+            self.step.endless or self.percent > self.first_percent
+        )
+
     def record_progress(self, percent: int, saved: str, now: float) -> None:
         """Update the run from a report of its worker."""
         self.started = True
--- a/src/nutmegworks/policy/worker_health.py
+++ b/src/nutmegworks/policy/worker_health.py
@@ -20,6 +20,9 @@
 # maximum. Faults of workers last some seconds.
 FIRST_SUSPENSION_SECONDS: typing.Final = 3.0
 MAX_SUSPENSION_SECONDS: typing.Final = 12.0
+# A run that was started on probation and works for this time, in seconds, ends
+# the probation. Longer than it takes to notice that a run has stalled.
+PROBATION_RUN_SECONDS: typing.Final = 4.0
 # For this time after a failure a worker is used last by gangs, in seconds. One
 # member's failure ends a gang, and a worker that fails everything is certain
 # to be faulty only after the failures of two jobs.
@@ -32,9 +35,12 @@
 class Health(enum.Enum):
     """Whether a worker gets work.
 
-    HEALTHY: gets work; its value is an outward name and stays 'trusted'.
-    PROBATION: gets one run at a time, whose outcome decides.
-    SUSPECT: gets no work.
+    HEALTHY: gets work; its value is an outward name and stays 'trusted'. It
+        is left by failures or a stall.
+    PROBATION: gets one run at a time beside those that it had before; the
+        run decides. It is left by a success, a run that stays, a failure or a
+        stall.
+    SUSPECT: gets no work. It is left by time or a success.
     """
 
     HEALTHY = 'trusted'
@@ -58,7 +64,7 @@
     :param suspended_until: end of the latest suspension.
     :param next_suspension: seconds of the next suspension.
     :param on_probation: whether the worker was suspended; a success discards
-        the whole history.
+        the whole history, a run that stays only this.
     """
 
     failed_jobs: list[ids.JobId] = dataclasses.field(default_factory=list)
@@ -135,6 +141,40 @@
             if now < history.suspended_until else Health.PROBATION
         )
 
+    def accepts_probe(
+        self,
+        worker_id: ids.WorkerId,
+        started_at: typing.Iterable[float],
+        now: float,
+    ) -> bool:
+        """Return whether a worker may get a run as far as probation matters.
+
+        :param started_at: when the worker's present runs were ordered.
+        """
+        if self.status(worker_id, now) is not Health.PROBATION:
+            return True
+        # Runs that were there before may last for ever and prove nothing.
+        began = self._history_by_id[worker_id].suspended_until
+        return all(started < began for started in started_at)
+
+    def record_running(
+        self,
+        worker_id: ids.WorkerId,
+        started_at: typing.Iterable[float],
+        now: float,
+    ) -> None:
+        """End a probation if a run that was started on it has stayed.
+
+        :param started_at: when the runs that are at work on the worker were
+            first reported.
+        """
+        if self.status(worker_id, now) is not Health.PROBATION:
+            return
+        history = self._history_by_id[worker_id]
+        if any(started >= history.suspended_until and now -
+               started >= PROBATION_RUN_SECONDS for started in started_at):
+            history.on_probation = False
+
     def suspects(
         self,
         worker_ids: typing.Collection[ids.WorkerId],
--- a/tests/policy/test_worker_health.py
+++ b/tests/policy/test_worker_health.py
@@ -1,6 +1,10 @@
 """Faulty workers among jobs whose tasks fail through their own fault."""
 from __future__ import annotations
 
+import typing
+
+import pytest
+
 from nutmegworks.model import ids
 from nutmegworks.policy import worker_health
 
@@ -47,3 +51,119 @@
     health.record_failure(WORKER, JOB_A, 10.0)
     health.record_success(WORKER)
     assert not health.failed_recently(WORKER, 10.5)
+
+
+# When the worker becomes a suspect, in seconds.
+T = 100.0
+_Event = typing.Callable[[worker_health.WorkerHealth, float], object]
+
+
+def _fail(health: worker_health.WorkerHealth, now: float) -> None:
+    health.record_failure(WORKER, JOB_A, now)
+    health.record_failure(WORKER, JOB_B, now)
+
+
+def _stall(health: worker_health.WorkerHealth, now: float) -> None:
+    health.record_stall(WORKER, now)
+
+
+def _succeed(health: worker_health.WorkerHealth, now: float) -> None:
+    health.record_success(WORKER)
+
+
+def _stay(health: worker_health.WorkerHealth, now: float) -> None:
+    """A run has just stayed for the time that ends a probation."""
+    health.record_running(
+        WORKER, [now - worker_health.PROBATION_RUN_SECONDS], now
+    )
+
+
+def _nothing(health: worker_health.WorkerHealth, now: float) -> None:
+    pass
+
+
+HEALTHY = worker_health.Health.HEALTHY
+PROBATION = worker_health.Health.PROBATION
+SUSPECT = worker_health.Health.SUSPECT
+
+
+@pytest.mark.parametrize(
+    ('event', 'after', 'state'),
+    [
+        (_nothing, 0.0, SUSPECT),
+        (_succeed, 0.0, HEALTHY),
+        # Time alone ends a suspension.
+        (_nothing, worker_health.FIRST_SUSPENSION_SECONDS, PROBATION),
+        (_succeed, worker_health.FIRST_SUSPENSION_SECONDS, HEALTHY),
+        (_fail, worker_health.FIRST_SUSPENSION_SECONDS, SUSPECT),
+        (_stall, worker_health.FIRST_SUSPENSION_SECONDS, SUSPECT),
+        # A run must have begun after the suspension to prove something.
+        (_stay, worker_health.FIRST_SUSPENSION_SECONDS, PROBATION),
+        (
+            _stay,
+            worker_health.FIRST_SUSPENSION_SECONDS +
+            worker_health.PROBATION_RUN_SECONDS,
+            HEALTHY,
+        ),
+    ],
+)
+@pytest.mark.parametrize('suspend', [_fail, _stall])
+def test_each_state_is_left(
+    suspend: _Event,
+    event: _Event,
+    after: float,
+    state: worker_health.Health,
+) -> None:
+    """Guards against a state that a worker cannot leave."""
+    health = worker_health.WorkerHealth()
+    suspend(health, T)
+    event(health, T + after)
+    assert health.status(WORKER, T + after) is state
+
+
+def test_suspensions_stay_bounded() -> None:
+    """Guards against suspensions that grow for ever."""
+    health = worker_health.WorkerHealth()
+    for _ in range(20):
+        _fail(health, T)
+    assert health.status(
+        WORKER, T + worker_health.MAX_SUSPENSION_SECONDS
+    ) is PROBATION
+
+
+def test_probation_allows_one_run_beside_those_from_before() -> None:
+    """Tasks that last never end, and must not keep the trial from coming."""
+    health = worker_health.WorkerHealth()
+    _fail(health, T)
+    began = T + worker_health.FIRST_SUSPENSION_SECONDS
+    now = began + 1.0
+    assert health.accepts_probe(WORKER, [T - 50.0, T - 1.0], now)
+    assert not health.accepts_probe(WORKER, [T - 50.0, began + 0.5], now)
+    assert health.accepts_probe('w2', [now, now], now)
+
+
+def test_failure_on_probation_suspends_for_longer() -> None:
+    """A faulty worker gets one run of one job between its suspensions."""
+    health = worker_health.WorkerHealth()
+    _fail(health, T)
+    began = T + worker_health.FIRST_SUSPENSION_SECONDS
+    assert health.record_failure(WORKER, JOB_A, began)
+    assert health.status(
+        WORKER, began + worker_health.FIRST_SUSPENSION_SECONDS
+    ) is SUSPECT
+
+
+def test_run_that_stays_does_not_shorten_the_next_suspension() -> None:
+    """A worker that fails late must not be trusted like a sound one."""
+    health = worker_health.WorkerHealth()
+    _fail(health, T)
+    trusted = (
+        T + worker_health.FIRST_SUSPENSION_SECONDS +
+        worker_health.PROBATION_RUN_SECONDS
+    )
+    _stay(health, trusted)
+    assert health.status(WORKER, trusted) is HEALTHY
+    _fail(health, trusted)
+    assert health.status(
+        WORKER, trusted + worker_health.FIRST_SUSPENSION_SECONDS
+    ) is SUSPECT
