fleet: a job whose starts are rejected is pending

Seen: `pending` was 0 while no task of a job had started, because a worker answered each start with 503. Cause: a job became active, and so was not counted, when a start was decided. Change: a job has begun once a worker confirms a start or reports a run or an end of the job. After a rejected start a job that has not begun is stored as queued again, with the release of its run, so that the next leader counts it, too. No further writes. If a leader ends between a start request and its rejection, the next one counts the job as begun.

--- a/src/nutmegworks/fleet/orders.py
+++ b/src/nutmegworks/fleet/orders.py
@@ -12,6 +12,7 @@
 from nutmegworks.fleet import state as fleet_state
 from nutmegworks.fleet import table
 from nutmegworks.model import ids
+from nutmegworks.tasks import records
 from nutmegworks.tasks import workers
 
 _LOG: typing.Final = logbook.Logger('orders')
@@ -158,6 +159,7 @@
             return
         if outcome is workers.StartOutcome.STARTED:
             run.started = True
+            job.begun = True
             if run.phase is table.RunPhase.ORDERED:
                 run.phase = table.RunPhase.RUNNING
                 run.confirmed_at = now
@@ -186,6 +188,9 @@
             self._withdraw(run, outcome.value)
         else:
             self._state.release_run(run, outcome.value)
+            if not job.begun and not job.runs_by_task and not job.final:
+                # Stored with the release, for the next leader.
+                job.progress.state = records.JobState.QUEUED
             self._state.stop_gang(
                 run, f'start of a member failed: {outcome.value}'
             )
--- a/src/nutmegworks/fleet/state.py
+++ b/src/nutmegworks/fleet/state.py
@@ -423,8 +423,7 @@
     def pending(self, queue: str) -> int:
         """Return how many accepted jobs of a queue have not started."""
         return sum(
-            job.accepted.queue == queue
-            and job.progress.state is records.JobState.QUEUED
+            job.accepted.queue == queue and not job.begun and not job.final
             for job in self.jobs_by_id.values()
         )
 
--- a/src/nutmegworks/fleet/table.py
+++ b/src/nutmegworks/fleet/table.py
@@ -155,6 +155,8 @@
         # Of this leader only.
         self.wait_times = wait_causes.WaitTimes(waits_since)
         self.stored_state = progress.state
+        # Whether a worker has confirmed or reported a run of the job.
+        self.begun = progress.state is not records.JobState.QUEUED
         # Set when a final state is stored, so that clients may see it.
         self.final_state_stored = curio.Event()
         self.runs_by_task: dict[spec.TaskKey, Run] = {}
