--- a/src/nutmegworks/fleet/reports.py
+++ b/src/nutmegworks/fleet/reports.py
@@ -117,6 +117,9 @@
             self._stop_unrecorded_run(worker, status, now)
             return
         run.record_progress(status.percent, status.checkpoint, now)
+        job = self._state.jobs_by_id.get(run.task.job_id)
+        if job is not None:
+            job.begun = True
         if run.rate.update(status.percent, now):
             self._state.compare_rate(worker, run)
         if run.phase in (table.RunPhase.ORDERED, table.RunPhase.ADOPTED):
@@ -187,6 +190,7 @@
         if run is not None:
             state.release_run(run, end.kind.value)
         state.changed_ids.add(job.job_id)
+        job.begun = True
         if end.checkpoint and is_current:
             job.progress.saved[job.attempt_key(end.task)] = end.checkpoint
         if end.kind is workers.EndKind.DONE:
@@ -229,7 +233,7 @@
         became_suspect = self._state.worker_health.record_failure(
             worker.worker_id, job.job_id, now
         )
-        job.failed_worker_ids.add(worker.worker_id)
+        job.failed_at_by_worker[worker.worker_id] = now
         if became_suspect:
             _LOG.warning('worker is suspect', worker=worker.worker_id)
         progress = job.progress
@@ -247,7 +251,19 @@
         worker: fleet_worker.Worker,
         now: float,
     ) -> None:
-        """Make a worker a suspect if all of its runs have stalled."""
+        """Make a worker a suspect if all of its runs have stalled.
+
+        Runs that stay end its probation.
+        """
+        self._state.worker_health.record_running(
+            worker.worker_id,
+            [
+                run.first_percent_at
+                for run in worker.runs_by_key.values()
+                if run.phase is table.RunPhase.RUNNING and run.at_work
+            ],
+            now,
+        )
         running = [
             run for run in worker.runs_by_key.values()
             if run.phase is table.RunPhase.RUNNING and not run.step.endless
--- a/src/nutmegworks/fleet/table.py
+++ b/src/nutmegworks/fleet/table.py
@@ -92,6 +92,13 @@
         """Whether a report of its worker has listed the run."""
         return self.first_percent is not None
 
+    @property
+    def at_work(self) -> bool:
+        """Whether its reports show work; a task that lasts has no progress."""
+        return self.first_percent is not None and (
+            self.step.endless or self.percent > self.first_percent
+        )
+
     def record_progress(self, percent: int, saved: str, now: float) -> None:
         """Update the run from a report of its worker."""
         self.started = True
@@ -148,11 +155,14 @@
         # Of this leader only.
         self.wait_times = wait_causes.WaitTimes(waits_since)
         self.stored_state = progress.state
+        # Whether a worker has confirmed or reported a run of the job.
+        self.begun = progress.state is not records.JobState.QUEUED
         # Set when a final state is stored, so that clients may see it.
         self.final_state_stored = curio.Event()
         self.runs_by_task: dict[spec.TaskKey, Run] = {}
-        # Workers on which a run of the job failed; others are used instead.
-        self.failed_worker_ids: set[ids.WorkerId] = set()
+        # When a run of the job last failed on a worker, in seconds of
+        # membership.steady_clock; others are preferred for a time.
+        self.failed_at_by_worker: dict[ids.WorkerId, float] = {}
         # Seconds of membership.steady_clock before which no task of the job
         # starts.
         self.not_before = 0.0
