fleet: a task that lasts has no expected end

Cause: a lasting run is at 100 percent, so Run.remaining gave 0.1 s, and the scheduler handed its resources to the planner as a release. The planner reserved the executors for the gang from 0.25 s on, in each round, and let urgent work wait for the release.

Change: Run.remaining is infinite for such a run; it has a release only while it stops. A lasting task doesn't count as backfill, which ends in time: it avoids reserved workers, but for 1.5 s only, as it must start within 3 s where there is room. The cost of stopping one is bounded by 6 s of its work, in place of its age: urgent work without a guarantee never found one cheap enough.

--- a/src/nutmegworks/fleet/scheduler.py
+++ b/src/nutmegworks/fleet/scheduler.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import functools
+import math
 import time
 import typing
 
@@ -227,6 +228,8 @@
             if run.phase is table.RunPhase.STOPPING:
                 stops_at = run.stopped_at + self._bounds.stop
                 after = max(MIN_STOPPING_SECONDS, stops_at - now)
+            if math.isinf(after):
+                continue
             releases.append(task_placement.Release(after, run.step.resources))
         entry = worker.entry
         return task_placement.WorkerCapacity(
@@ -389,6 +392,7 @@
         run.step.resources,
         now - run.ordered_at,
         run.step.checkpoints,
+        run.step.endless,
     )
 
 
--- a/src/nutmegworks/fleet/table.py
+++ b/src/nutmegworks/fleet/table.py
@@ -3,6 +3,7 @@
 
 import dataclasses
 import enum
+import math
 import typing
 
 import curio
@@ -105,7 +106,13 @@
         self.saved = saved or self.saved
 
     def remaining(self, now: float) -> float:
-        """Return the seconds that the run is expected to take from now."""
+        """Return the seconds that the run is expected to take from now.
+
+        Infinite for a task without an end, whose percentage only says that it
+        is at work.
+        """
+        if self.step.endless:
+            return math.inf
         elapsed = now - self.first_percent_at
         gained = self.percent - (self.first_percent or 0)
         if self.first_percent is not None and gained >= 5:
--- a/src/nutmegworks/policy/task_planning.py
+++ b/src/nutmegworks/policy/task_planning.py
@@ -32,7 +32,9 @@
 # Waiting for twice its duration and then running at full speed takes the same.
 ANY_RACK_WAIT_FACTOR: typing.Final = 2.0
 # While most of a service is free, a demand waits for preferred racks only this
-# long: waiting work may leave such a service idle for 3 s at most.
+# long: waiting work may leave such a service idle for 3 s at most. Tasks
+# without an end must start in that time however full the service is, and avoid
+# workers that are reserved for others only this long.
 MAX_IDLE_WAIT_SECONDS: typing.Final = 1.5
 # Part of the time in which guaranteed work has to start that is not spent on
 # waiting and stopping: decisions, the store and the start itself.
@@ -114,10 +116,10 @@
         self.stops: list[tuple[task_preemption.RunningTask, ids.JobId]] = []
         self.backfill_reservations = 0
         # Resources that no worker can provide any more, with the shortest
-        # duration for which this was found.
+        # time without a reservation for which this was found.
         self._exhausted: list[tuple[spec.Resources, float]] = []
         # Gangs that could not be placed in this round: number of tasks and
-        # duration by shape.
+        # time without a reservation by shape.
         self._unplaced_gangs: dict[
             task_placement.ShapeKey,
             list[tuple[int, float]],
@@ -219,17 +221,18 @@
         demand: task_demand.Demand,
     ) -> list[task_placement.WorkerCapacity]:
         """Return workers on which the tasks end before a reservation."""
-        duration = demand.duration * BACKFILL_DURATION_FACTOR
+        duration = _backfill_seconds(demand)
         return [
             worker for worker in self._workers
             if worker.reserved_from > duration
+            or math.isinf(worker.reserved_from)
         ]
 
     def _is_exhausted(self, demand: task_demand.Demand) -> bool:
         """Return whether similar tasks could not be placed in this round."""
         return any(
             demand.step.resources.can_fit(resources)
-            and demand.duration >= duration
+            and _backfill_seconds(demand) >= duration
             for resources, duration in self._exhausted
         )
 
@@ -244,7 +247,8 @@
         are used.
         """
         return any(
-            len(demand.indexes) >= count and demand.duration >= duration
+            len(demand.indexes) >= count
+            and _backfill_seconds(demand) >= duration
             for count, duration in self._unplaced_gangs.get(key, ())
         )
 
@@ -255,7 +259,7 @@
             or step.max_per_worker or demand.excluded_worker_ids
         )
         if demand.indexes and not constrained:
-            self._exhausted.append((step.resources, demand.duration))
+            self._exhausted.append((step.resources, _backfill_seconds(demand)))
 
     def _start(self, demand: task_demand.Demand) -> task_demand.Demand:
         """Start the tasks that fit; return the demand with the others."""
@@ -275,7 +279,7 @@
         )
         if demand.step.gang and not placement:
             self._unplaced_gangs.setdefault(key, []).append(
-                (len(demand.indexes), demand.duration)
+                (len(demand.indexes), _backfill_seconds(demand))
             )
         indexes = demand.indexes[:len(placement)]
         if not indexes:
@@ -374,6 +378,16 @@
                 worker.free = worker.free.minus(demand.step.resources)
 
 
+def _backfill_seconds(demand: task_demand.Demand) -> float:
+    """Return for how long its workers must not be reserved for others.
+
+    Infinite for tasks that never end; 0 once these must start anywhere.
+    """
+    if not demand.step.endless:
+        return demand.duration * BACKFILL_DURATION_FACTOR
+    return math.inf if demand.waited <= MAX_IDLE_WAIT_SECONDS else 0.0
+
+
 def plan(
     waiting: typing.Iterable[task_demand.Demand],
     workers: typing.Sequence[task_placement.WorkerCapacity],
--- a/src/nutmegworks/policy/task_preemption.py
+++ b/src/nutmegworks/policy/task_preemption.py
@@ -18,6 +18,9 @@
 CHECKPOINTED_LOSS_SHARE: typing.Final = 0.1
 # Cost of the stop itself, in seconds of the run's work.
 STOP_COST_SECONDS: typing.Final = 0.5
+# Most that a task without an end loses, in seconds of its work: what it did
+# before has served its users, and they allow this long until it runs again.
+ENDLESS_LOSS_SECONDS: typing.Final = 6.0
 # Work counts this many times as much as work of the next lower class.
 CLASS_COST_FACTOR: typing.Final = 2.0
 LOWEST_PRIORITY: typing.Final = 4
@@ -46,8 +49,9 @@
 
     :param group: key of runs that are stopped together: a gang's runs share
         it.
-    :param elapsed: seconds of work that would be lost.
+    :param elapsed: seconds since the start of the run.
     :param checkpoints: whether the run writes a checkpoint when stopped.
+    :param endless: the task runs until its job is cancelled.
     """
 
     task: spec.TaskKey
@@ -57,14 +61,17 @@
     resources: spec.Resources
     elapsed: float
     checkpoints: bool
+    endless: bool = False
 
     def cost(self) -> float:
         """Return the lost work in core-seconds, weighted by its class."""
         cores = weighted_cores(self.resources)
         share = CHECKPOINTED_LOSS_SHARE if self.checkpoints else 1.0
+        lost = self.elapsed * share
+        if self.endless:
+            lost = min(lost, ENDLESS_LOSS_SECONDS)
         return (
-            cores * (STOP_COST_SECONDS + self.elapsed * share) *
-            _class_weight(self.priority)
+            cores * (STOP_COST_SECONDS + lost) * _class_weight(self.priority)
         )
 
 
--- a/tests/fleet/memory.py
+++ b/tests/fleet/memory.py
@@ -238,9 +238,11 @@
     :ivar lease_by_id: end of the latest lease in milliseconds, by worker.
     :ivar lose_starts: number of next starts that take effect without an
         answer.
+    :ivar percent: progress that reports give for each run.
     """
 
     def __init__(self) -> None:
+        self.percent = 10
         self.unreachable: set[ids.WorkerId] = set()
         self.unheard: set[ids.WorkerId] = set()
         self.replaced: set[ids.WorkerId] = set()
@@ -354,7 +356,7 @@
                 clock=int(time.monotonic() * 1000),
                 incarnation=worker.incarnation,
                 running=tuple(
-                    workers.RunStatus(task, run, '', 10)
+                    workers.RunStatus(task, run, '', self.percent)
                     for task, run in self.running_by_id.get(worker_id, {})
                 ),
                 ended=tuple(ended),
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -47,6 +47,7 @@
     estimate: float = 5.0,
     max_per_worker: int = 0,
     data_rack: str = '',
+    endless: bool = False,
 ) -> spec.Step:
     return spec.Step(
         number=spec.StepNumber(0),
@@ -57,6 +58,7 @@
         one_rack=one_rack,
         max_per_worker=max_per_worker,
         data_rack=data_rack,
+        endless=endless,
     )
 
 
@@ -103,6 +105,7 @@
     elapsed: float = 1.0,
     checkpoints: bool = False,
     group: str = '',
+    endless: bool = False,
 ) -> task_preemption.RunningTask:
     task = spec.TaskKey(
         ids.JobId(job_id), spec.Occurrence(0), spec.StepNumber(0), index
@@ -115,4 +118,5 @@
         resources,
         elapsed,
         checkpoints,
+        endless,
     )
--- a/tests/policy/test_task_planning.py
+++ b/tests/policy/test_task_planning.py
@@ -192,3 +192,59 @@
     )
 
     assert [start.demand.job_id for start in plan.starts] == ['newer']
+
+
+def test_a_task_without_an_end_does_not_backfill() -> None:
+    """Guards against a reserved worker that is lost to its gang for ever."""
+    releases = [(9.0, builders.WHOLE_WORKER)]
+    gang = builders.demand(
+        'gang', tasks=2, gang=True, accelerators=8, sequence=1
+    )
+    lasting = builders.demand(
+        'lasting', sequence=2, estimate=2.0, endless=True
+    )
+
+    plan = task_planning.plan(
+        [gang, lasting],
+        [
+            builders.worker('w1', free=FULL, releases=releases),
+            builders.worker('w2')
+        ],
+        [],
+    )
+    assert plan.starts == ()
+
+    # Beside an unreserved worker it has room at once.
+    plan = task_planning.plan(
+        [gang, lasting],
+        [
+            builders.worker('w1', free=FULL, releases=releases),
+            builders.worker('w2'),
+            builders.worker('w3', free=spec.Resources(10_000, 30_000, 1)),
+        ],
+        [],
+    )
+    assert [start.worker_ids for start in plan.starts] == [('w3', )]
+
+
+def test_a_task_without_an_end_starts_in_time_on_reserved_workers() -> None:
+    """Guards against a task that is away while there is room for it."""
+    gang = builders.demand(
+        'gang', tasks=2, gang=True, accelerators=8, sequence=1
+    )
+    lasting = builders.demand(
+        'lasting', sequence=2, estimate=30.0, endless=True, waited=2.0
+    )
+
+    plan = task_planning.plan(
+        [gang, lasting],
+        [
+            builders.worker(
+                'w1', free=FULL, releases=[(9.0, builders.WHOLE_WORKER)]
+            ),
+            builders.worker('w2'),
+        ],
+        [],
+    )
+
+    assert [start.demand.job_id for start in plan.starts] == ['lasting']
--- a/tests/policy/test_task_preemption.py
+++ b/tests/policy/test_task_preemption.py
@@ -157,3 +157,14 @@
     assert task_demand.teams_within_guarantee({'a': 16},
                                               {'a': 8}) == frozenset()
     assert task_demand.teams_within_guarantee({'a': 8}, {}) == frozenset()
+
+
+def test_age_does_not_protect_tasks_without_an_end() -> None:
+    """Guards against urgent work that never finds a cheap victim.
+
+    What such a task did before has served its users.
+    """
+    lasting = builders.running('old', 'w1', elapsed=3600.0, endless=True)
+    ordinary = builders.running('a', 'w1', elapsed=60.0)
+
+    assert lasting.cost() < ordinary.cost()
