policy: a wait for releases that don't come has a term

Callers saw: where runs take longer than declared, a gang kept lesser work off its workers for as long as the runs lasted, and urgent work within its guarantee waited past reclaimMs.

Cause: each round expected an overdue run to end in 0.1 s anew, so neither a backfill reservation nor a wait for releases was ever over.

Change: policy/reservation_terms keeps the end of each wait over the rounds. Terms of a gang get longer, so that it gets its turn, but not while most accelerators are free. Urgent work preempts when its wait is over. The double of plan in test_scheduler takes and passes on the new argument; what it checks is the same.

--- a/src/nutmegworks/fleet/scheduler.py
+++ b/src/nutmegworks/fleet/scheduler.py
@@ -16,6 +16,7 @@
 from nutmegworks.fleet import table
 from nutmegworks.fleet import worker as fleet_worker
 from nutmegworks.model import ids
+from nutmegworks.policy import reservation_terms
 from nutmegworks.policy import task_demand
 from nutmegworks.policy import task_placement
 from nutmegworks.policy import task_planning
@@ -63,6 +64,7 @@
             task_demand.DemandKey,
             tuple[task_placement.Placement, float],
         ] = {}
+        self._terms = reservation_terms.ReservationTerms()
 
     async def run(self) -> None:
         """Run a round whenever something has changed, until cancelled."""
@@ -79,6 +81,7 @@
         now = membership.steady_clock()
         self._drain_leaving_workers(now)
         waiting = list(self._demands(now))
+        pauses = self._terms.pauses({demand.key for demand in waiting}, now)
         if waiting:
             plan = task_planning.plan(
                 waiting,
@@ -86,7 +89,9 @@
                 self._running(now),
                 self._valid_reservations(now),
                 self._bounds,
+                pauses,
             )
+            self._terms.record(plan.waits, plan.reservations, now)
             for task, job_id in plan.stops:
                 self._preempt(task, job_id)
             reserved_until = (
--- a/src/nutmegworks/policy/__init__.py
+++ b/src/nutmegworks/policy/__init__.py
@@ -16,6 +16,6 @@
 
 Task scheduling, for the platform daemon (:mod:`nutmegworks.daemon.fleet`),
 which assigns the tasks of job steps to workers: task_demand, task_durations,
-task_placement, task_planning, task_preemption, crash_limit, worker_health,
-worker_speeds.
+task_placement, task_planning, task_preemption, reservation_terms, crash_limit,
+worker_health, worker_speeds.
 """
--- a/src/nutmegworks/policy/task_planning.py
+++ b/src/nutmegworks/policy/task_planning.py
@@ -10,6 +10,7 @@
 import typing
 
 from nutmegworks.model import ids
+from nutmegworks.policy import reservation_terms
 from nutmegworks.policy import task_demand
 from nutmegworks.policy import task_placement
 from nutmegworks.policy import task_preemption
@@ -86,6 +87,7 @@
     :param reservations: workers that demands get once the victims of this
         round have stopped.
     :param wait_causes: what demands wait for of which tasks do not start.
+    :param waits: room that is held for demands until releases.
     """
 
     starts: tuple[Start, ...]
@@ -96,6 +98,10 @@
         task_demand.DemandKey,
         wait_causes.WaitCause,
     ] = dataclasses.field(default_factory=dict)
+    waits: typing.Mapping[
+        task_demand.DemandKey,
+        reservation_terms.Wait,
+    ] = dataclasses.field(default_factory=dict)
 
 
 class _Round:
@@ -107,8 +113,14 @@
         running: typing.Sequence[task_preemption.RunningTask],
         reservations: Reservations,
         bounds: Bounds,
+        pauses: reservation_terms.Pauses,
     ) -> None:
         self._bounds = bounds
+        self._pauses = pauses
+        self.waits: dict[
+            task_demand.DemandKey,
+            reservation_terms.Wait,
+        ] = {}
         self._workers = list(workers)
         self._running = list(running)
         self._worker_by_id = {worker.worker_id: worker for worker in workers}
@@ -182,7 +194,7 @@
         if demand.priority == 0:
             if self._wait_for_releases(demand) or self._preempt(demand):
                 return
-        if (demand.step.gang
+        if (demand.step.gang and demand.key not in self._pauses.keys
                 and self.backfill_reservations < MAX_BACKFILL_RESERVATIONS):
             self._reserve_for_backfill(demand)
 
@@ -306,8 +318,11 @@
     def _wait_for_releases(self, demand: task_demand.Demand) -> bool:
         """Reserve workers that are released in time without preemption.
 
-        :return: whether there are enough of them.
+        :return: whether there are enough of them, and none was waited for in
+            vain a short time ago.
         """
+        if demand.key in self._pauses.keys:
+            return False
         max_wait = max(self._bounds.stop, self._max_wait(demand))
         placement = task_placement.place(
             demand, self._unreserved_workers(), any_rack=False, after=max_wait
@@ -316,6 +331,10 @@
             return False
         self._reserve(placement, demand)
         self._record_wait(demand, wait_causes.WaitCause.RELEASE)
+        # Also while the releases are always just ahead, no longer than this.
+        self.waits[demand.key] = reservation_terms.Wait(
+            max_wait + self._bounds.stop, frozenset(placement)
+        )
         return True
 
     def _preempt(self, demand: task_demand.Demand) -> bool:
@@ -362,9 +381,20 @@
         if math.isinf(start_after):
             return
         self.backfill_reservations += 1
-        for worker_id in set(placement):
+        held_ids = []
+        for worker_id in set(placement) - self._pauses.worker_ids:
             worker = self._worker_by_id[worker_id]
+            if math.isinf(worker.reserved_from):
+                held_ids.append(worker_id)
             worker.reserved_from = min(worker.reserved_from, start_after)
+        if held_ids:
+            failures = 0
+            if not self._is_half_empty():
+                failures = self._pauses.failures_by_key.get(demand.key, 0)
+            self.waits[demand.key] = reservation_terms.Wait(
+                reservation_terms.gang_due_in(start_after, failures),
+                frozenset(held_ids),
+            )
 
     def _reserve(
         self,
@@ -394,6 +424,7 @@
     running: typing.Sequence[task_preemption.RunningTask],
     reservations: Reservations | None = None,
     bounds: Bounds = Bounds(),
+    pauses: reservation_terms.Pauses = reservation_terms.Pauses(),
 ) -> Plan:
     """Return which tasks to start and which runs to stop.
 
@@ -401,8 +432,9 @@
     :param workers: workers that may get work; changed by this function.
     :param running: runs that may be stopped.
     :param reservations: resources that victims of earlier rounds release.
+    :param pauses: demands and workers whose wait for releases was in vain.
     """
-    state = _Round(workers, running, reservations or {}, bounds)
+    state = _Round(workers, running, reservations or {}, bounds, pauses)
     ordered = task_demand.sort_demands(waiting)
     state.apply_reservations(ordered)
     for demand in ordered:
@@ -413,6 +445,7 @@
         state.backfill_reservations,
         state.new_reservations,
         state.wait_causes,
+        state.waits,
     )
 
 
--- a/tests/fleet/test_lasting_tasks.py
+++ b/tests/fleet/test_lasting_tasks.py
@@ -6,6 +6,8 @@
 from nutmegworks.fleet import leader
 from nutmegworks.fleet import table
 from nutmegworks.model import ids
+from nutmegworks.policy import task_planning
+from nutmegworks.tasks import workers
 from tests.fleet import builders
 from tests.fleet import memory
 from tests import helpers
@@ -86,3 +88,67 @@
             assert _running(term, 'a1') == 8
 
     helpers.run(main)
+
+
+async def _start_overdue(
+    store: memory.MemoryStore,
+    term: leader.Term,
+) -> None:
+    """Start a task on a whole worker that is overdue at once.
+
+    At 100 percent it does not count as stalled.
+    """
+    step = builders.step(gpu=8, estimatedMs=50)
+    builders.put_job(store, 'a1', builders.accepted(step))
+    await builders.wait_until(lambda: _running(term, 'a1'))
+
+
+def test_lesser_work_starts_while_a_gang_waits_for_an_overdue_run() -> None:
+    """Guards against a reservation that moves on with each round.
+
+    The run was declared too short; the gang starts when all has ended.
+    """
+
+    async def main() -> None:
+        store = memory.MemoryStore()
+        fleet = memory.MemoryWorkers()
+        fleet.percent = 100
+        for number in range(WORKERS):
+            builders.put_worker(store, f'w{number}')
+        async with builders.running_term(store, fleet) as term:
+            await _start_overdue(store, term)
+            gang = builders.step(WORKERS, gpu=8, gang=True)
+            builders.put_job(store, 'a2', builders.accepted(gang))
+            await builders.wait_until(
+                lambda: ids.JobId('a2') in term.state.jobs_by_id
+            )
+            await curio.sleep(0.1)
+            builders.put_job(store, 'a3', builders.accepted(priority=2))
+            await builders.wait_until(
+                lambda: _running(term, 'a3'), seconds=6.0
+            )
+            assert _running(term, 'a2') == 0
+            builders.end_all_runs(fleet, workers.EndKind.DONE)
+            await builders.wait_until(lambda: _running(term, 'a2') == WORKERS)
+
+    helpers.run(main)
+
+
+def test_urgent_work_reclaims_from_an_overdue_run() -> None:
+    """Guards against a wait for a release that is always 0.1 s ahead."""
+
+    async def main() -> None:
+        store = memory.MemoryStore()
+        fleet = memory.MemoryWorkers()
+        fleet.percent = 100
+        builders.put_worker(store, 'w0')
+        async with builders.running_term(store, fleet) as term:
+            await _start_overdue(store, term)
+            urgent = builders.accepted(builders.step(gpu=8), priority=0)
+            builders.put_job(store, URGENT, urgent)
+            await builders.wait_until(
+                lambda: _running(term, URGENT),
+                seconds=task_planning.Bounds().reclaim,
+            )
+
+    helpers.run(main)
--- a/tests/fleet/test_scheduler.py
+++ b/tests/fleet/test_scheduler.py
@@ -24,9 +24,9 @@
     passed: list[task_planning.Reservations] = []
     plan = task_planning.plan
 
-    def record(waiting, workers, running, reservations, bounds):
+    def record(waiting, workers, running, reservations, bounds, pauses):
         passed.append(dict(reservations))
-        return plan(waiting, workers, running, reservations, bounds)
+        return plan(waiting, workers, running, reservations, bounds, pauses)
 
     monkeypatch.setattr(task_planning, 'plan', record)
 
