--- a/src/nutmegworks/fleet/scheduler.py
+++ b/src/nutmegworks/fleet/scheduler.py
@@ -3,6 +3,7 @@
 
 import dataclasses
 import functools
+import math
 import time
 import typing
 
@@ -16,6 +17,7 @@
 from nutmegworks.fleet import table
 from nutmegworks.fleet import worker as fleet_worker
 from nutmegworks.model import ids
+from nutmegworks.policy import reservation_terms
 from nutmegworks.policy import task_demand
 from nutmegworks.policy import task_placement
 from nutmegworks.policy import task_planning
@@ -63,6 +65,7 @@
             task_demand.DemandKey,
             tuple[task_placement.Placement, float],
         ] = {}
+        self._terms = reservation_terms.ReservationTerms()
 
     async def run(self) -> None:
         """Run a round whenever something has changed, until cancelled."""
@@ -79,6 +82,7 @@
         now = membership.steady_clock()
         self._drain_leaving_workers(now)
         waiting = self._exclude_failed_workers(self._demands(now), now)
+        pauses = self._terms.pauses({demand.key for demand in waiting}, now)
         if waiting:
             plan = task_planning.plan(
                 waiting,
@@ -86,7 +90,9 @@
                 self._running(now),
                 self._valid_reservations(now),
                 self._bounds,
+                pauses,
             )
+            self._terms.record(plan.waits, plan.reservations, now)
             for task, job_id in plan.stops:
                 self._preempt(task, job_id)
             reserved_until = (
@@ -229,6 +235,8 @@
             if run.phase is table.RunPhase.STOPPING:
                 stops_at = run.stopped_at + self._bounds.stop
                 after = max(MIN_STOPPING_SECONDS, stops_at - now)
+            if math.isinf(after):
+                continue
             releases.append(task_placement.Release(after, run.step.resources))
         entry = worker.entry
         return task_placement.WorkerCapacity(
@@ -436,6 +444,7 @@
         run.step.resources,
         now - run.ordered_at,
         run.step.checkpoints,
+        run.step.endless,
     )
 
 
--- a/src/nutmegworks/policy/task_planning.py
+++ b/src/nutmegworks/policy/task_planning.py
@@ -10,6 +10,7 @@
 import typing
 
 from nutmegworks.model import ids
+from nutmegworks.policy import reservation_terms
 from nutmegworks.policy import task_demand
 from nutmegworks.policy import task_placement
 from nutmegworks.policy import task_preemption
@@ -32,7 +33,9 @@
 # Waiting for twice its duration and then running at full speed takes the same.
 ANY_RACK_WAIT_FACTOR: typing.Final = 2.0
 # While most of a service is free, a demand waits for preferred racks only this
-# long: waiting work may leave such a service idle for 3 s at most.
+# long: waiting work may leave such a service idle for 3 s at most. Tasks
+# without an end must start in that time however full the service is, and avoid
+# workers that are reserved for others only this long.
 MAX_IDLE_WAIT_SECONDS: typing.Final = 1.5
 # Part of the time in which guaranteed work has to start that is not spent on
 # waiting and stopping: decisions, the store and the start itself.
@@ -84,6 +87,7 @@
     :param reservations: workers that demands get once the victims of this
         round have stopped.
     :param wait_causes: what demands wait for of which tasks do not start.
+    :param waits: room that is held for demands until releases.
     """
 
     starts: tuple[Start, ...]
@@ -94,6 +98,10 @@
         task_demand.DemandKey,
         wait_causes.WaitCause,
     ] = dataclasses.field(default_factory=dict)
+    waits: typing.Mapping[
+        task_demand.DemandKey,
+        reservation_terms.Wait,
+    ] = dataclasses.field(default_factory=dict)
 
 
 class _Round:
@@ -105,8 +113,14 @@
         running: typing.Sequence[task_preemption.RunningTask],
         reservations: Reservations,
         bounds: Bounds,
+        pauses: reservation_terms.Pauses,
     ) -> None:
         self._bounds = bounds
+        self._pauses = pauses
+        self.waits: dict[
+            task_demand.DemandKey,
+            reservation_terms.Wait,
+        ] = {}
         self._workers = list(workers)
         self._running = list(running)
         self._worker_by_id = {worker.worker_id: worker for worker in workers}
@@ -114,10 +128,10 @@
         self.stops: list[tuple[task_preemption.RunningTask, ids.JobId]] = []
         self.backfill_reservations = 0
         # Resources that no worker can provide any more, with the shortest
-        # duration for which this was found.
+        # time without a reservation for which this was found.
         self._exhausted: list[tuple[spec.Resources, float]] = []
         # Gangs that could not be placed in this round: number of tasks and
-        # duration by shape.
+        # time without a reservation by shape.
         self._unplaced_gangs: dict[
             task_placement.ShapeKey,
             list[tuple[int, float]],
@@ -180,7 +194,7 @@
         if demand.priority == 0:
             if self._wait_for_releases(demand) or self._preempt(demand):
                 return
-        if (demand.step.gang
+        if (demand.step.gang and demand.key not in self._pauses.keys
                 and self.backfill_reservations < MAX_BACKFILL_RESERVATIONS):
             self._reserve_for_backfill(demand)
 
@@ -219,17 +233,18 @@
         demand: task_demand.Demand,
     ) -> list[task_placement.WorkerCapacity]:
         """Return workers on which the tasks end before a reservation."""
-        duration = demand.duration * BACKFILL_DURATION_FACTOR
+        duration = _backfill_seconds(demand)
         return [
             worker for worker in self._workers
             if worker.reserved_from > duration
+            or math.isinf(worker.reserved_from)
         ]
 
     def _is_exhausted(self, demand: task_demand.Demand) -> bool:
         """Return whether similar tasks could not be placed in this round."""
         return any(
             demand.step.resources.can_fit(resources)
-            and demand.duration >= duration
+            and _backfill_seconds(demand) >= duration
             for resources, duration in self._exhausted
         )
 
@@ -244,7 +259,8 @@
         are used.
         """
         return any(
-            len(demand.indexes) >= count and demand.duration >= duration
+            len(demand.indexes) >= count
+            and _backfill_seconds(demand) >= duration
             for count, duration in self._unplaced_gangs.get(key, ())
         )
 
@@ -255,7 +271,7 @@
             or step.max_per_worker or demand.excluded_worker_ids
         )
         if demand.indexes and not constrained:
-            self._exhausted.append((step.resources, demand.duration))
+            self._exhausted.append((step.resources, _backfill_seconds(demand)))
 
     def _start(self, demand: task_demand.Demand) -> task_demand.Demand:
         """Start the tasks that fit; return the demand with the others."""
@@ -275,7 +291,7 @@
         )
         if demand.step.gang and not placement:
             self._unplaced_gangs.setdefault(key, []).append(
-                (len(demand.indexes), demand.duration)
+                (len(demand.indexes), _backfill_seconds(demand))
             )
         indexes = demand.indexes[:len(placement)]
         if not indexes:
@@ -302,8 +318,11 @@
     def _wait_for_releases(self, demand: task_demand.Demand) -> bool:
         """Reserve workers that are released in time without preemption.
 
-        :return: whether there are enough of them.
+        :return: whether there are enough of them, and none was waited for in
+            vain a short time ago.
         """
+        if demand.key in self._pauses.keys:
+            return False
         max_wait = max(self._bounds.stop, self._max_wait(demand))
         placement = task_placement.place(
             demand, self._unreserved_workers(), any_rack=False, after=max_wait
@@ -312,6 +331,10 @@
             return False
         self._reserve(placement, demand)
         self._record_wait(demand, wait_causes.WaitCause.RELEASE)
+        # Also while the releases are always just ahead, no longer than this.
+        self.waits[demand.key] = reservation_terms.Wait(
+            max_wait + self._bounds.stop, frozenset(placement)
+        )
         return True
 
     def _preempt(self, demand: task_demand.Demand) -> bool:
@@ -358,9 +381,20 @@
         if math.isinf(start_after):
             return
         self.backfill_reservations += 1
-        for worker_id in set(placement):
+        held_ids = []
+        for worker_id in set(placement) - self._pauses.worker_ids:
             worker = self._worker_by_id[worker_id]
+            if math.isinf(worker.reserved_from):
+                held_ids.append(worker_id)
             worker.reserved_from = min(worker.reserved_from, start_after)
+        if held_ids:
+            failures = 0
+            if not self._is_half_empty():
+                failures = self._pauses.failures_by_key.get(demand.key, 0)
+            self.waits[demand.key] = reservation_terms.Wait(
+                reservation_terms.gang_due_in(start_after, failures),
+                frozenset(held_ids),
+            )
 
     def _reserve(
         self,
@@ -374,12 +408,23 @@
                 worker.free = worker.free.minus(demand.step.resources)
 
 
+def _backfill_seconds(demand: task_demand.Demand) -> float:
+    """Return for how long its workers must not be reserved for others.
+
+    Infinite for tasks that never end; 0 once these must start anywhere.
+    """
+    if not demand.step.endless:
+        return demand.duration * BACKFILL_DURATION_FACTOR
+    return math.inf if demand.waited <= MAX_IDLE_WAIT_SECONDS else 0.0
+
+
 def plan(
     waiting: typing.Iterable[task_demand.Demand],
     workers: typing.Sequence[task_placement.WorkerCapacity],
     running: typing.Sequence[task_preemption.RunningTask],
     reservations: Reservations | None = None,
     bounds: Bounds = Bounds(),
+    pauses: reservation_terms.Pauses = reservation_terms.Pauses(),
 ) -> Plan:
     """Return which tasks to start and which runs to stop.
 
@@ -387,8 +432,9 @@
     :param workers: workers that may get work; changed by this function.
     :param running: runs that may be stopped.
     :param reservations: resources that victims of earlier rounds release.
+    :param pauses: demands and workers whose wait for releases was in vain.
     """
-    state = _Round(workers, running, reservations or {}, bounds)
+    state = _Round(workers, running, reservations or {}, bounds, pauses)
     ordered = task_demand.sort_demands(waiting)
     state.apply_reservations(ordered)
     for demand in ordered:
@@ -399,6 +445,7 @@
         state.backfill_reservations,
         state.new_reservations,
         state.wait_causes,
+        state.waits,
     )
 
 
--- a/tests/fleet/memory.py
+++ b/tests/fleet/memory.py
@@ -240,10 +240,12 @@
         answer.
     :ivar ignored_stops: number of next stops that are answered and have no
         effect.
+    :ivar percent: progress that reports give for each run.
     """
 
     def __init__(self) -> None:
         self.ignored_stops = 0
+        self.percent = 10
         self.unreachable: set[ids.WorkerId] = set()
         self.unheard: set[ids.WorkerId] = set()
         self.replaced: set[ids.WorkerId] = set()
@@ -360,7 +362,7 @@
                 clock=int(time.monotonic() * 1000),
                 incarnation=worker.incarnation,
                 running=tuple(
-                    workers.RunStatus(task, run, '', 10)
+                    workers.RunStatus(task, run, '', self.percent)
                     for task, run in self.running_by_id.get(worker_id, {})
                 ),
                 ended=tuple(ended),
