policy: failures of one moment are one suspension of a worker

Cause: each failure of a batch counted on its own. The second one suspended the worker for 3 s, the third on probation for 6 s, the fourth for 12 s, all within 0.1 s.

Change: a failure says nothing new if its run was ordered before the latest suspension began. Rejections of start requests are treated alike.

--- a/src/nutmegworks/fleet/orders.py
+++ b/src/nutmegworks/fleet/orders.py
@@ -181,7 +181,7 @@
             worker.paused_until = now + REJECTION_PAUSE_SECONDS
         if outcome is workers.StartOutcome.UNHEALTHY:
             self._state.worker_health.record_failure(
-                run.worker_id, job.job_id, now
+                run.worker_id, job.job_id, now, run.ordered_at
             )
         if repeated:
             # The first request may have arrived, or may arrive later.
--- a/src/nutmegworks/fleet/reports.py
+++ b/src/nutmegworks/fleet/reports.py
@@ -1,6 +1,7 @@
 """Applies workers' reports to the leader's state."""
 from __future__ import annotations
 
+import math
 import typing
 
 import logbook
@@ -197,7 +198,8 @@
             self._apply_success(worker, job, end, run)
             return
         if end.kind is workers.EndKind.FAILED and is_current:
-            self._apply_failure(worker, job, end, now)
+            ordered_at = math.inf if run is None else run.ordered_at
+            self._apply_failure(worker, job, end, now, ordered_at)
         if run is not None:
             state.stop_gang(run, f'a member ended: {end.kind.value}')
 
@@ -229,9 +231,10 @@
         job: table.Job,
         end: workers.RunEnd,
         now: float,
+        ordered_at: float,
     ) -> None:
         became_suspect = self._state.worker_health.record_failure(
-            worker.worker_id, job.job_id, now
+            worker.worker_id, job.job_id, now, ordered_at
         )
         job.failed_at_by_worker[worker.worker_id] = now
         if became_suspect:
--- a/src/nutmegworks/policy/worker_health.py
+++ b/src/nutmegworks/policy/worker_health.py
@@ -61,6 +61,7 @@
 
     :param failed_jobs: jobs that failed since the latest suspension.
     :param failed_at: time of the latest failure.
+    :param suspended_at: start of the latest suspension.
     :param suspended_until: end of the latest suspension.
     :param next_suspension: seconds of the next suspension.
     :param on_probation: whether the worker was suspended; a success discards
@@ -69,6 +70,7 @@
 
     failed_jobs: list[ids.JobId] = dataclasses.field(default_factory=list)
     failed_at: float = -math.inf
+    suspended_at: float = -math.inf
     suspended_until: float = 0.0
     next_suspension: float = FIRST_SUSPENSION_SECONDS
     on_probation: bool = False
@@ -99,10 +101,17 @@
         worker_id: ids.WorkerId,
         job_id: ids.JobId,
         now: float,
+        ordered_at: float = math.inf,
     ) -> bool:
-        """Record a failed task; return whether the worker became a suspect."""
+        """Record a failed task; return whether the worker became a suspect.
+
+        :param ordered_at: when the run was ordered. Runs from before a
+            suspension say nothing new, as several may fail of one cause.
+        """
         history = self._history(worker_id)
         history.failed_at = now
+        if ordered_at < history.suspended_at:
+            return False
         if job_id not in history.failed_jobs:
             history.failed_jobs.append(job_id)
         reached = len(history.failed_jobs) >= SUSPECT_FAILED_JOBS
@@ -124,6 +133,7 @@
         self._suspend(self._history(worker_id), now)
 
     def _suspend(self, history: _FailureHistory, now: float) -> None:
+        history.suspended_at = now
         history.suspended_until = now + history.next_suspension
         history.next_suspension = min(
             MAX_SUSPENSION_SECONDS, 2 * history.next_suspension
--- a/tests/policy/test_worker_health.py
+++ b/tests/policy/test_worker_health.py
@@ -142,6 +142,31 @@
     assert health.accepts_probe('w2', [now, now], now)
 
 
+def test_failures_of_one_batch_are_one_suspension() -> None:
+    """Guards against the longest suspension after a single moment."""
+    health = worker_health.WorkerHealth()
+    jobs = [ids.JobId(f'job-{number}') for number in range(8)]
+    for number, job_id in enumerate(jobs):
+        health.record_failure(WORKER, job_id, T + 0.01 * number, T - 1.0)
+    ends = T + 0.01 + worker_health.FIRST_SUSPENSION_SECONDS
+    assert health.status(WORKER, ends - 0.1) is SUSPECT
+    assert health.status(WORKER, ends) is PROBATION
+    # A run of the batch that fails on probation is no new evidence either.
+    assert not health.record_failure(WORKER, jobs[0], ends, T - 1.0)
+    assert health.status(WORKER, ends) is PROBATION
+
+
+def test_failures_at_different_times_lengthen_suspensions() -> None:
+    """A faulty worker must not get a run every few seconds for ever."""
+    health = worker_health.WorkerHealth()
+    _fail(health, T)
+    ends = T + worker_health.FIRST_SUSPENSION_SECONDS
+    assert health.record_failure(WORKER, JOB_A, ends + 0.1, ends)
+    next_end = ends + 0.1 + 2 * worker_health.FIRST_SUSPENSION_SECONDS
+    assert health.status(WORKER, next_end - 0.1) is SUSPECT
+    assert health.status(WORKER, next_end) is PROBATION
+
+
 def test_failure_on_probation_suspends_for_longer() -> None:
     """A faulty worker gets one run of one job between its suspensions."""
     health = worker_health.WorkerHealth()
