policy: a task that fails everywhere does not suspend its workers

Cause: each failure counted against its worker, though a task that has failed on others before most likely fails through its own fault.

Change: the leader keeps the workers on which a task, or gang, has failed. From the third one on its failures are no evidence against the worker. Failures of other tasks of a wide step still count, so that several faulty workers are found by one job.

Evidence: test_jobs_that_fail_everywhere_suspend_few_workers fails without the condition in Reports._apply_failure (run with it taken out) and passes with it.

--- a/src/nutmegworks/fleet/reports.py
+++ b/src/nutmegworks/fleet/reports.py
@@ -12,6 +12,7 @@
 from nutmegworks.fleet import worker as fleet_worker
 from nutmegworks.fleet import worker_session
 from nutmegworks.policy import run_stops
+from nutmegworks.policy import worker_health
 from nutmegworks.tasks import records
 from nutmegworks.tasks import spec
 from nutmegworks.tasks import workers
@@ -233,14 +234,17 @@
         now: float,
         ordered_at: float,
     ) -> None:
-        became_suspect = self._state.worker_health.record_failure(
-            worker.worker_id, job.job_id, now, ordered_at
-        )
-        job.failed_at_by_worker[worker.worker_id] = now
-        if became_suspect:
-            _LOG.warning('worker is suspect', worker=worker.worker_id)
         progress = job.progress
         key = job.attempt_key(end.task)
+        failed_ids = job.failed_ids_by_key.setdefault(key, set())
+        failed_ids.add(worker.worker_id)
+        if not worker_health.is_own_fault(len(failed_ids) - 1):
+            became_suspect = self._state.worker_health.record_failure(
+                worker.worker_id, job.job_id, now, ordered_at
+            )
+            if became_suspect:
+                _LOG.warning('worker is suspect', worker=worker.worker_id)
+        job.failed_at_by_worker[worker.worker_id] = now
         if progress.last_failed.get(key, 0) >= end.run:
             return
         progress.last_failed[key] = end.run
--- a/src/nutmegworks/fleet/table.py
+++ b/src/nutmegworks/fleet/table.py
@@ -170,6 +170,8 @@
         # When a run of the job last failed on a worker, in seconds of
         # membership.steady_clock; others are preferred for a time.
         self.failed_at_by_worker: dict[ids.WorkerId, float] = {}
+        # Workers on which a task has failed, by its attempt_key.
+        self.failed_ids_by_key: dict[str, set[ids.WorkerId]] = {}
         # Seconds of membership.steady_clock before which no task of the job
         # starts.
         self.not_before = 0.0
--- a/src/nutmegworks/policy/worker_health.py
+++ b/src/nutmegworks/policy/worker_health.py
@@ -30,6 +30,9 @@
 # At most this share of the workers is excluded at a time: where so many fail,
 # the jobs are the cause.
 MAX_SUSPECT_SHARE: typing.Final = 0.4
+# Other workers on which a task has failed, from which on its failures count as
+# its own fault.
+MAX_BLAMED_WORKERS: typing.Final = 2
 
 
 class Health(enum.Enum):
@@ -208,4 +211,12 @@
         return set(suspect_ids[:limit])
 
 
-__all__ = ('Health', 'WorkerHealth')
+def is_own_fault(other_workers: int) -> bool:
+    """Return whether a task's failure says nothing of its worker.
+
+    :param other_workers: number of other workers on which it has failed.
+    """
+    return other_workers >= MAX_BLAMED_WORKERS
+
+
+__all__ = ('Health', 'WorkerHealth', 'is_own_fault')
--- a/tests/fleet/test_exclusion.py
+++ b/tests/fleet/test_exclusion.py
@@ -1,10 +1,15 @@
 """Steps that must run again on workers on which they have failed."""
 from __future__ import annotations
 
+import typing
+
 import curio
 import pytest
 
+from nutmegworks.fleet import membership
 from nutmegworks.model import ids
+from nutmegworks.policy import worker_health
+from nutmegworks.tasks import records
 from nutmegworks.tasks import workers
 from tests.fleet import builders
 from tests.fleet import memory
@@ -82,3 +87,49 @@
             )
 
     helpers.run(main)
+
+
+def _fail_runs(
+    fleet: memory.MemoryWorkers,
+    job_ids: typing.Container[ids.JobId],
+) -> None:
+    for worker_id, running in list(fleet.running_by_id.items()):
+        for task, run in list(running):
+            if task.job_id in job_ids:
+                fleet.end(worker_id, task, run, workers.EndKind.FAILED)
+
+
+def test_jobs_that_fail_everywhere_suspend_few_workers() -> None:
+    """Guards against sound workers that are kept from other work.
+
+    A task that has failed on two other workers is at fault itself.
+    """
+
+    async def main() -> None:
+        store = memory.MemoryStore()
+        for number in range(1, 7):
+            builders.put_worker(store, f'w{number}')
+        fleet = memory.MemoryWorkers()
+        failing = {ids.JobId('f1'), ids.JobId('f2')}
+        async with builders.running_term(store, fleet) as term:
+            for job_id in failing:
+                builders.put_job(store, job_id, builders.accepted(attempts=4))
+
+            def all_have_failed() -> bool:
+                _fail_runs(fleet, failing)
+                return all(
+                    term.state.public_state(job_id) is records.JobState.FAILED
+                    for job_id in failing
+                )
+
+            await builders.wait_until(all_have_failed, seconds=9.0)
+            health = term.state.worker_health
+            now = membership.steady_clock()
+            suspended = [
+                worker_id for worker_id in term.state.workers_by_id
+                if health.status(worker_id, now)
+                is not worker_health.Health.HEALTHY
+            ]
+            assert len(suspended) <= worker_health.MAX_BLAMED_WORKERS
+
+    helpers.run(main)
--- a/tests/policy/test_worker_health.py
+++ b/tests/policy/test_worker_health.py
@@ -167,6 +167,13 @@
     assert health.status(WORKER, next_end) is PROBATION
 
 
+def test_task_that_fails_everywhere_is_no_evidence() -> None:
+    """Guards against workers suspended one after the other by one job."""
+    assert not worker_health.is_own_fault(0)
+    assert not worker_health.is_own_fault(1)
+    assert worker_health.is_own_fault(2)
+
+
 def test_failure_on_probation_suspends_for_longer() -> None:
     """A faulty worker gets one run of one job between its suspensions."""
     health = worker_health.WorkerHealth()
