policy: avoiding a worker delays a job no longer than its target allows

Four jobs that always fail closed the only worker with their label for 12 s at a time; a sound job with the label did not start in 7 s.

Cause: avoiding workers was bounded by time only. Exclusion after a failure asked whether the others could run the step if they were empty, for 30 s. A suspension asked nothing, and on probation a worker got all of the runs of a round.

`max_delay` says how long a demand may wait for other workers: up to its class's target (its late limit on the last attempt), and 2.5 s after its job's last run while the service is half empty, as the platform allows 3 s. A failed worker is avoided only while others get room within that time. Where they don't, a suspended worker takes the demand as its one run 2.5 s after its last failure; a demand that may not wait any longer gets one task, or its gang, on any worker. Probation is one run, or one gang, a round. Task placement knows it as the access of a worker and the recourse of a demand. Exclusion ends after 10 s, as faults last 6.5 s at most.

Not protected: a job with two attempts that only a faulty worker can run, or while much of the service is free, may use both within 6.5 s.

--- a/src/nutmegworks/fleet/scheduler.py
+++ b/src/nutmegworks/fleet/scheduler.py
@@ -1,7 +1,6 @@
 """Runs scheduling rounds over the leader's state and applies their plans."""
 from __future__ import annotations
 
-import dataclasses
 import functools
 import math
 import time
@@ -23,6 +22,7 @@
 from nutmegworks.policy import task_planning
 from nutmegworks.policy import task_preemption
 from nutmegworks.policy import worker_exclusion
+from nutmegworks.policy import worker_health
 from nutmegworks.tasks import records
 from nutmegworks.tasks import spec
 from nutmegworks.tasks import workers
@@ -81,7 +81,7 @@
     async def _round(self) -> None:
         now = membership.steady_clock()
         self._drain_leaving_workers(now)
-        waiting = self._exclude_failed_workers(self._demands(now), now)
+        waiting = self._restrict(self._demands(now), now)
         pauses = self._terms.pauses({demand.key for demand in waiting}, now)
         if waiting:
             plan = task_planning.plan(
@@ -212,22 +212,19 @@
             for worker_id, worker in self._state.workers_by_id.items()
             if worker.available(now)
         }
-        health = self._state.worker_health
-        suspect_ids = health.suspects(available_by_id.keys(), now)
+        suspect_ids = self._state.worker_health.suspects(
+            available_by_id.keys(), now
+        )
         return [
-            self._worker_capacity(worker, now)
-            for worker_id, worker in available_by_id.items()
-            if worker_id not in suspect_ids and health.accepts_probe(
-                worker_id,
-                (run.ordered_at for run in worker.runs_by_key.values()),
-                now,
-            )
+            self._worker_capacity(worker, now, suspect_ids)
+            for worker in available_by_id.values()
         ]
 
     def _worker_capacity(
         self,
         worker: fleet_worker.Worker,
         now: float,
+        suspect_ids: typing.Collection[ids.WorkerId],
     ) -> task_placement.WorkerCapacity:
         releases = []
         for run in worker.runs_by_key.values():
@@ -248,6 +245,24 @@
             worker.free_resources(),
             tuple(releases),
             slow=self._should_avoid(worker.worker_id, now),
+            access=self._access(worker, now, suspect_ids),
+        )
+
+    def _access(
+        self,
+        worker: fleet_worker.Worker,
+        now: float,
+        suspect_ids: typing.Collection[ids.WorkerId],
+    ) -> task_placement.Access:
+        health = self._state.worker_health
+        status = health.status(worker.worker_id, now)
+        if (status is worker_health.Health.SUSPECT
+                and worker.worker_id not in suspect_ids):
+            return task_placement.Access.OPEN
+        return health.access(
+            worker.worker_id,
+            (run.ordered_at for run in worker.runs_by_key.values()),
+            now,
         )
 
     def _should_avoid(self, worker_id: ids.WorkerId, now: float) -> bool:
@@ -360,30 +375,37 @@
             },
         )
 
-    def _exclude_failed_workers(
+    def _restrict(
         self,
         demands: typing.Iterable[task_demand.Demand],
         now: float,
     ) -> list[task_demand.Demand]:
         """Return the demands with the workers to avoid after failures."""
-        usable: list[task_placement.WorkerCapacity] | None = None
+        usable: worker_exclusion.Workers | None = None
+        any_suspended = self._state.worker_health.any_suspended()
         waiting = []
         for demand in demands:
-            failed_at = self._state.jobs_by_id[demand.job_id
-                                               ].failed_at_by_worker
-            if failed_at:
+            job = self._state.jobs_by_id[demand.job_id]
+            if job.failed_at_by_worker or any_suspended:
                 if usable is None:
-                    usable = self._usable_workers(now)
-                excluded_ids = worker_exclusion.choose(
+                    usable = worker_exclusion.Workers(
+                        self._usable_workers(now)
+                    )
+                demand = usable.restrict(
                     demand,
                     {
                         worker_id: now - failed
-                        for worker_id, failed in failed_at.items()
+                        for worker_id, failed in
+                        job.failed_at_by_worker.items()
                     },
-                    usable,
-                )
-                demand = dataclasses.replace(
-                    demand, excluded_worker_ids=excluded_ids
+                    worker_exclusion.Standing(
+                        _idle_seconds(job, demand, now),
+                        usable.is_half_empty(demand.service_id),
+                        any(
+                            job.is_last_attempt(task)
+                            for task in _tasks(demand)
+                        ),
+                    ),
                 )
             waiting.append(demand)
         return waiting
@@ -391,8 +413,8 @@
     def _usable_workers(
         self,
         now: float,
-    ) -> list[task_placement.WorkerCapacity]:
-        """Return the workers to which a step can turn after a failure.
+    ) -> typing.Iterator[task_placement.WorkerCapacity]:
+        """Yield the workers to which a step can turn after a failure.
 
         Their totals are without what tasks that last hold.
         """
@@ -404,16 +426,12 @@
         suspect_ids = self._state.worker_health.suspects(
             usable_by_id.keys(), now
         )
-        usable = []
-        for worker_id, worker in usable_by_id.items():
-            if worker_id in suspect_ids:
-                continue
-            capacity = self._worker_capacity(worker, now)
+        for worker in usable_by_id.values():
+            capacity = self._worker_capacity(worker, now, suspect_ids)
             for run in worker.runs_by_key.values():
                 if run.step.endless:
                     capacity.total = capacity.total.minus(run.step.resources)
-            usable.append(capacity)
-        return usable
+            yield capacity
 
     def _drain_leaving_workers(self, now: float) -> None:
         """Stop runs that will not end before their worker has left."""
@@ -431,6 +449,27 @@
                     self._state.stop_gang(run, 'worker of a member is leaving')
 
 
+def _idle_seconds(
+    job: table.Job,
+    demand: task_demand.Demand,
+    now: float,
+) -> float | None:
+    """Return for how long a job has had nothing running, None if it has.
+
+    A task that lasts must run whatever else of its job does.
+    """
+    if job.runs_by_task and not demand.step.endless:
+        return None
+    return min(demand.waited, now - job.idle_since)
+
+
+def _tasks(demand: task_demand.Demand) -> typing.Iterator[spec.TaskKey]:
+    for index in demand.indexes:
+        yield spec.TaskKey(
+            demand.job_id, demand.occurrence, demand.step.number, index
+        )
+
+
 def _running_task(run: table.Run, now: float) -> task_preemption.RunningTask:
     task = run.task
     group: tuple[str, ...] = (task.name, )
--- a/src/nutmegworks/fleet/state.py
+++ b/src/nutmegworks/fleet/state.py
@@ -93,6 +93,8 @@
             return
         if job.runs_by_task.get(run.task) is run:
             del job.runs_by_task[run.task]
+        if run.started:
+            job.idle_since = membership.steady_clock()
         name = table.task_name(run.task)
         assigned = job.progress.assigned.get(name)
         if assigned is not None and assigned.run == run.number:
--- a/src/nutmegworks/fleet/table.py
+++ b/src/nutmegworks/fleet/table.py
@@ -167,6 +167,9 @@
         # Set when a final state is stored, so that clients may see it.
         self.final_state_stored = curio.Event()
         self.runs_by_task: dict[spec.TaskKey, Run] = {}
+        # When a run of the job last ended, in seconds of
+        # membership.steady_clock; its arrival before that.
+        self.idle_since = waits_since
         # When a run of the job last failed on a worker, in seconds of
         # membership.steady_clock; others are preferred for a time.
         self.failed_at_by_worker: dict[ids.WorkerId, float] = {}
@@ -222,6 +225,12 @@
             return step_key(task.occurrence, task.step)
         return task_name(task)
 
+    def is_last_attempt(self, task: spec.TaskKey) -> bool:
+        """Return whether the job fails if the task fails once more."""
+        step = self.submission.steps[task.step]
+        failures = self.progress.failures.get(self.attempt_key(task), 0)
+        return not step.endless and failures + 1 >= self.accepted.attempts
+
     def mark_done(self, task: spec.TaskKey) -> None:
         """Mark a task as finished, or its whole gang."""
         step = self.submission.steps[task.step]
--- a/src/nutmegworks/policy/task_demand.py
+++ b/src/nutmegworks/policy/task_demand.py
@@ -31,6 +31,21 @@
     HOPELESS = 2
 
 
+class Recourse(enum.Enum):
+    """Which workers a demand may use that get no other work.
+
+    NONE: none of them.
+    PROBE: no other worker can take it in time, so it may be the one run that
+        a suspended worker gets.
+    ANY: it may not wait any longer, so that any worker may get one of its
+        tasks.
+    """
+
+    NONE = 'none'
+    PROBE = 'probe'
+    ANY = 'any'
+
+
 DemandKey = tuple[ids.JobId, spec.Occurrence, spec.StepNumber]
 
 
@@ -48,6 +63,8 @@
     :param team_id: whose guarantee the tasks use at priority 0.
     :param excluded_worker_ids: workers that get none of the tasks now, because
         the job has failed on them.
+    :param recourse: which suspended workers may get one of the tasks, or the
+        gang.
     :param used_by_worker: number of the step's tasks that already run on a
         worker.
     :param expected: seconds that each task is expected to take; the declared
@@ -68,6 +85,7 @@
     service_id: ids.ServiceId
     team_id: ids.TeamId = ids.TeamId('')
     excluded_worker_ids: frozenset[ids.WorkerId] = frozenset()
+    recourse: Recourse = Recourse.NONE
     used_by_worker: typing.Mapping[ids.WorkerId, int] = dataclasses.field(
         default_factory=dict
     )
@@ -142,6 +160,7 @@
     'Demand',
     'DemandKey',
     'LATE_FACTOR',
+    'Recourse',
     'Timeliness',
     'sort_demands',
     'teams_within_guarantee',
--- a/src/nutmegworks/policy/task_placement.py
+++ b/src/nutmegworks/policy/task_placement.py
@@ -7,6 +7,7 @@
 
 import bisect
 import dataclasses
+import enum
 import math
 import typing
 
@@ -23,6 +24,44 @@
 RELEASE_STEP_SECONDS: typing.Final = 0.25
 
 
+class Access(enum.Enum):
+    """Which demands get a worker's room.
+
+    OPEN: all.
+    PROBE: one run, or one gang, of any demand.
+    LAST_RESORT: the same of a demand that no other worker can take in time.
+    CLOSED: only demands that may not wait any longer.
+    """
+
+    OPEN = 'open'
+    PROBE = 'probe'
+    LAST_RESORT = 'last-resort'
+    CLOSED = 'closed'
+
+
+# A worker that is in use gets work of any demand.
+IN_USE: typing.Final = frozenset({Access.OPEN, Access.PROBE})
+
+_Recourse = task_demand.Recourse
+
+_ADMITTED: typing.Final[typing.Mapping[
+    Access,
+    frozenset[task_demand.Recourse],
+]] = {
+    Access.OPEN: frozenset(_Recourse),
+    Access.PROBE: frozenset(_Recourse),
+    Access.LAST_RESORT: frozenset({_Recourse.PROBE, _Recourse.ANY}),
+    Access.CLOSED: frozenset({_Recourse.ANY}),
+}
+
+_AFTER_START: typing.Final[typing.Mapping[Access, Access]] = {
+    Access.OPEN: Access.OPEN,
+    Access.PROBE: Access.CLOSED,
+    Access.LAST_RESORT: Access.CLOSED,
+    Access.CLOSED: Access.CLOSED,
+}
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Release:
     """Resources that a running task is expected to release.
@@ -43,6 +82,7 @@
     :param reserved_from: seconds from now at which its resources are reserved
         for a waiting demand; infinite if they are not.
     :param slow: tasks take longer here than on a typical worker.
+    :param access: which demands get its room.
     """
 
     worker_id: ids.WorkerId
@@ -54,12 +94,24 @@
     releases: tuple[Release, ...] = ()
     reserved_from: float = math.inf
     slow: bool = False
+    access: Access = Access.OPEN
     # Sorted times of the releases, and what is released up to each of them;
     # None until they are needed.
     _released: tuple[list[float], list[spec.Resources]] | None = (
         dataclasses.field(default=None, init=False, repr=False, compare=False)
     )
 
+    def admits(self, demand: task_demand.Demand) -> bool:
+        """Return whether the demand may get room here, if there is any."""
+        return (
+            self.access is Access.OPEN
+            or demand.recourse in _ADMITTED[self.access]
+        )
+
+    def record_start(self) -> None:
+        """Record that a demand has got room here in this round."""
+        self.access = _AFTER_START[self.access]
+
     def add_release(self, release: Release) -> None:
         self.releases += (release, )
         self._released = None
@@ -118,6 +170,7 @@
         step.one_rack,
         step.max_per_worker,
         demand.excluded_worker_ids,
+        demand.recourse,
         tuple(sorted(demand.used_by_worker.items())),
         any_rack,
     )
@@ -127,14 +180,16 @@
     demand: task_demand.Demand,
     workers: typing.Iterable[WorkerCapacity],
 ) -> list[WorkerCapacity]:
-    """Return the workers that could run one of the tasks if empty."""
+    """Return the workers that may run one of the tasks, and could if empty."""
     label = demand.step.required_label
+    resources = demand.step.resources
+    excluded_ids = demand.excluded_worker_ids
     return [
         worker for worker in workers
         if worker.service_id == demand.service_id and (
             not label or label in worker.labels
-        ) and worker.total.can_fit(demand.step.resources)
-        and worker.worker_id not in demand.excluded_worker_ids
+        ) and worker.total.can_fit(resources) and worker.admits(demand)
+        and worker.worker_id not in excluded_ids
     ]
 
 
@@ -155,6 +210,28 @@
     return max(0, count)
 
 
+def max_tasks_now(
+    demand: task_demand.Demand,
+    worker: WorkerCapacity,
+    free: spec.Resources,
+) -> int:
+    """Return how many tasks a worker can take within its access.
+
+    A worker that is not open gets one task of a step, or a gang, which ends as
+    a whole. While it is closed, tasks of the step that run there count, but
+    for tasks that last, whose attempts are unlimited.
+
+    :param free: resources that are free on the worker.
+    """
+    count = max_tasks(demand, worker, free)
+    if worker.access is Access.OPEN or demand.step.gang:
+        return count
+    limit = 1
+    if worker.access is Access.CLOSED and not demand.step.endless:
+        limit -= demand.used_by_worker.get(worker.worker_id, 0)
+    return max(0, min(count, limit))
+
+
 def _max_tasks_by_id(
     demand: task_demand.Demand,
     workers: typing.Iterable[WorkerCapacity],
@@ -163,7 +240,7 @@
     """Return how many tasks each worker can take; omits those with none."""
     max_tasks_by_id = {}
     for worker in workers:
-        count = max_tasks(demand, worker, worker.free_after(after))
+        count = max_tasks_now(demand, worker, worker.free_after(after))
         if count > 0:
             max_tasks_by_id[worker.worker_id] = count
     return max_tasks_by_id
@@ -284,6 +361,15 @@
     return best
 
 
+def is_half_empty(workers: typing.Iterable[WorkerCapacity]) -> bool:
+    """Return whether over half of the accelerators are free."""
+    free = total = 0
+    for worker in workers:
+        free += worker.free.accelerators
+        total += worker.total.accelerators
+    return 2 * free > total
+
+
 def fits_preferred_racks(
     demand: task_demand.Demand,
     workers: typing.Iterable[WorkerCapacity],
@@ -339,6 +425,8 @@
 
 
 __all__ = (
+    'Access',
+    'IN_USE',
     'Placement',
     'Release',
     'ShapeKey',
@@ -346,7 +434,9 @@
     'earliest_placement',
     'eligible_workers',
     'fits_preferred_racks',
+    'is_half_empty',
     'max_tasks',
+    'max_tasks_now',
     'place',
     'placement_groups',
     'shape_key',
--- a/src/nutmegworks/policy/task_planning.py
+++ b/src/nutmegworks/policy/task_planning.py
@@ -224,9 +224,10 @@
         return not self._fits_racks[key]
 
     def _is_half_empty(self) -> bool:
-        free = sum(worker.free.accelerators for worker in self._workers)
-        total = sum(worker.total.accelerators for worker in self._workers)
-        return 2 * free > total
+        return task_placement.is_half_empty(
+            worker for worker in self._workers
+            if worker.access in task_placement.IN_USE
+        )
 
     def _backfill_workers(
         self,
@@ -242,6 +243,8 @@
 
     def _is_exhausted(self, demand: task_demand.Demand) -> bool:
         """Return whether similar tasks could not be placed in this round."""
+        if demand.recourse is not task_demand.Recourse.NONE:
+            return False
         return any(
             demand.step.resources.can_fit(resources)
             and _backfill_seconds(demand) >= duration
@@ -269,6 +272,7 @@
         constrained = (
             step.gang or step.required_label or step.data_rack
             or step.max_per_worker or demand.excluded_worker_ids
+            or demand.recourse is not task_demand.Recourse.NONE
         )
         if demand.indexes and not constrained:
             self._exhausted.append((step.resources, _backfill_seconds(demand)))
@@ -300,6 +304,8 @@
         for worker_id in placement:
             worker = self._worker_by_id[worker_id]
             worker.free = worker.free.minus(demand.step.resources)
+        for worker_id in set(placement):
+            self._worker_by_id[worker_id].record_start()
         return dataclasses.replace(
             demand, indexes=demand.indexes[len(indexes):]
         )
--- a/src/nutmegworks/policy/worker_health.py
+++ b/src/nutmegworks/policy/worker_health.py
@@ -11,6 +11,8 @@
 import typing
 
 from nutmegworks.model import ids
+from nutmegworks.policy import task_placement
+from nutmegworks.policy import worker_exclusion
 
 # Different jobs that must fail on a worker, without a success in between,
 # before it gets no work. Single failures are common: some tasks fail through
@@ -43,7 +45,8 @@
     PROBATION: gets one run at a time beside those that it had before; the
         run decides. It is left by a success, a run that stays, a failure or a
         stall.
-    SUSPECT: gets no work. It is left by time or a success.
+    SUSPECT: gets no work that another worker can take. It is left by time
+        or a success.
     """
 
     HEALTHY = 'trusted'
@@ -51,13 +54,6 @@
     SUSPECT = 'suspect'
 
 
-ACCEPTS_WORK: typing.Final = {
-    Health.HEALTHY: True,
-    Health.PROBATION: True,
-    Health.SUSPECT: False,
-}
-
-
 @dataclasses.dataclass(slots=True)
 class _FailureHistory:
     """Failures on a worker since its last success.
@@ -154,21 +150,37 @@
             if now < history.suspended_until else Health.PROBATION
         )
 
-    def accepts_probe(
+    def any_suspended(self) -> bool:
+        """Return whether any worker may be a suspect or on probation."""
+        return any(
+            history.on_probation for history in self._history_by_id.values()
+        )
+
+    def access(
         self,
         worker_id: ids.WorkerId,
-        started_at: typing.Iterable[float],
+        ordered_at: typing.Iterable[float],
         now: float,
-    ) -> bool:
-        """Return whether a worker may get a run as far as probation matters.
+    ) -> task_placement.Access:
+        """Return which demands get the worker's room.
 
-        :param started_at: when the worker's present runs were ordered.
+        :param ordered_at: when the worker's present runs were ordered.
         """
-        if self.status(worker_id, now) is not Health.PROBATION:
-            return True
+        status = self.status(worker_id, now)
+        if status is Health.HEALTHY:
+            return task_placement.Access.OPEN
+        history = self._history_by_id[worker_id]
         # Runs that were there before may last for ever and prove nothing.
-        began = self._history_by_id[worker_id].suspended_until
-        return all(started < began for started in started_at)
+        suspect = status is Health.SUSPECT
+        began = history.suspended_at if suspect else history.suspended_until
+        if any(ordered >= began for ordered in ordered_at):
+            return task_placement.Access.CLOSED
+        if not suspect:
+            return task_placement.Access.PROBE
+        failed_at = max(history.failed_at, history.suspended_at)
+        if now - failed_at < worker_exclusion.RETRY_SECONDS:
+            return task_placement.Access.CLOSED
+        return task_placement.Access.LAST_RESORT
 
     def record_running(
         self,
@@ -200,7 +212,7 @@
         """
         suspect_ids = [
             worker_id for worker_id in worker_ids
-            if not ACCEPTS_WORK[self.status(worker_id, now)]
+            if self.status(worker_id, now) is Health.SUSPECT
         ]
         limit = int(MAX_SUSPECT_SHARE * len(worker_ids))
         suspect_ids.sort(
--- a/tests/fleet/test_exclusion.py
+++ b/tests/fleet/test_exclusion.py
@@ -99,6 +99,100 @@
                 fleet.end(worker_id, task, run, workers.EndKind.FAILED)
 
 
+def test_step_runs_again_while_the_alternative_is_busy() -> None:
+    """Guards against a job that waits beside a free worker for a busy one.
+
+    The platform allows 3 s without a run while much of the service is free.
+    """
+
+    async def main() -> None:
+        store = memory.MemoryStore()
+        _put_workers(store, 'special')
+        fleet = memory.MemoryWorkers()
+        async with builders.running_term(store, fleet):
+            builders.put_worker(
+                store, 'w5', labels=['special', 'other', 'r1-1']
+            )
+            filler = builders.step(
+                gpu=8, requirements='other', estimatedMs=60_000
+            )
+            builders.put_job(store, 'ff', builders.accepted(filler))
+            await builders.wait_until(lambda: len(fleet.starts) == 1)
+            step = builders.step(requirements='special')
+            builders.put_job(store, JOB, builders.accepted(step, attempts=4))
+            await builders.wait_until(lambda: len(fleet.starts) == 2)
+            _fail_runs(fleet, {JOB})
+            await builders.wait_until(
+                lambda: len(fleet.starts) == 3, seconds=3.0
+            )
+            assert fleet.starts[-1][0] == SPECIAL
+
+    helpers.run(main)
+
+
+def test_jobs_that_always_fail_do_not_close_their_worker() -> None:
+    """Guards against a suspension that keeps work from its only worker.
+
+    Failures of one moment are one suspension, and each job may have nothing
+    running for 3 s.
+    """
+
+    async def main() -> None:
+        store = memory.MemoryStore()
+        _put_workers(store, 'special')
+        fleet = memory.MemoryWorkers()
+        failing = {ids.JobId(f'{number:016x}') for number in range(4)}
+        async with builders.running_term(store, fleet) as term:
+            record = builders.accepted(
+                builders.step(requirements='special'), attempts=2
+            )
+            for job_id in failing:
+                builders.put_job(store, job_id, record)
+            await builders.wait_until(lambda: len(fleet.starts) == 4)
+            _fail_runs(fleet, failing)
+
+            def all_have_failed() -> bool:
+                _fail_runs(fleet, failing)
+                return all(
+                    term.state.public_state(job_id) is records.JobState.FAILED
+                    for job_id in failing
+                )
+
+            await builders.wait_until(all_have_failed, seconds=3.5)
+            builders.put_job(store, JOB, record)
+            await builders.wait_until(
+                lambda: fleet.starts[-1][1].task.job_id == JOB, seconds=3.0
+            )
+
+    helpers.run(main)
+
+
+def test_worker_on_probation_gets_one_run_in_a_round() -> None:
+    """Guards against a faulty worker that collects jobs after its pause."""
+
+    async def main() -> None:
+        store = memory.MemoryStore()
+        builders.put_worker(store, 'w1')
+        fleet = memory.MemoryWorkers()
+        async with builders.running_term(store, fleet) as term:
+            await builders.wait_until(lambda: term.state.workers_by_id)
+            now = membership.steady_clock()
+            health = term.state.worker_health
+            for job_id in ('b1', 'b2'):
+                health.record_failure(
+                    SPECIAL,
+                    ids.JobId(job_id),
+                    now - worker_health.FIRST_SUSPENSION_SECONDS,
+                )
+            for number in range(4):
+                builders.put_job(store, f'{number:016x}', builders.accepted())
+            await builders.wait_until(lambda: fleet.starts)
+            await curio.sleep(1.0)
+            assert len(fleet.starts) == 1
+
+    helpers.run(main)
+
+
 def test_jobs_that_fail_everywhere_suspend_few_workers() -> None:
     """Guards against sound workers that are kept from other work.
 
--- a/tests/policy/test_crash_limit.py
+++ b/tests/policy/test_crash_limit.py
@@ -90,6 +90,6 @@
 ) -> None:
     """Guards against a lasting task that ends with a flapping worker."""
     assert not crash_limit.counts_for_lasting(loss, same_worker=True)
-    assert crash_limit.counts_for_lasting(loss, same_worker=False) is (
-        loss is not crash_limit.Loss.UNEXPLAINED
-    )
+    assert crash_limit.counts_for_lasting(
+        loss, same_worker=False
+    ) is (loss is not crash_limit.Loss.UNEXPLAINED)
--- a/tests/policy/test_task_planning.py
+++ b/tests/policy/test_task_planning.py
@@ -1,6 +1,12 @@
 """Urgent gangs on a full fleet, and wide gangs among small jobs."""
 from __future__ import annotations
 
+import dataclasses
+
+import pytest
+
+from nutmegworks.policy import task_demand
+from nutmegworks.policy import task_placement
 from nutmegworks.policy import task_planning
 from nutmegworks.tasks import spec
 from tests import fleet_builders as builders
@@ -248,3 +254,79 @@
     )
 
     assert [start.demand.job_id for start in plan.starts] == ['lasting']
+
+
+def _limited(
+    worker_id: str,
+    access: task_placement.Access,
+) -> task_placement.WorkerCapacity:
+    return dataclasses.replace(builders.worker(worker_id), access=access)
+
+
+@pytest.mark.parametrize(
+    ('access', 'recourse', 'starts'),
+    [
+        ('PROBE', 'NONE', 1),
+        ('PROBE', 'ANY', 3),
+        ('LAST_RESORT', 'NONE', 0),
+        ('LAST_RESORT', 'PROBE', 1),
+        ('LAST_RESORT', 'ANY', 3),
+        ('CLOSED', 'NONE', 0),
+        ('CLOSED', 'PROBE', 0),
+        ('CLOSED', 'ANY', 3),
+    ],
+)
+def test_worker_under_suspicion_gets_few_runs(
+    access: str,
+    recourse: str,
+    starts: int,
+) -> None:
+    """Guards against a faulty worker that collects several jobs in one round.
+
+    A job that may not wait any longer has one of its tasks started there.
+    """
+    worker = _limited('w1', task_placement.Access[access])
+    demands = [
+        dataclasses.replace(
+            builders.demand(f'a{number}', tasks=2, sequence=number),
+            recourse=task_demand.Recourse[recourse],
+        ) for number in range(3)
+    ]
+    plan = task_planning.plan(demands, [worker], [])
+    assert [len(start.indexes) for start in plan.starts] == [1] * starts
+
+
+def test_gang_counts_as_one_run_of_a_worker_on_probation() -> None:
+    """Guards against a gang that never fits on its only worker."""
+    worker = _limited('w1', task_placement.Access.PROBE)
+    plan = task_planning.plan(
+        [builders.demand(tasks=4, gang=True)], [worker], []
+    )
+    assert [len(start.indexes) for start in plan.starts] == [4]
+
+
+def test_closed_worker_gets_one_task_of_a_step_over_all_rounds() -> None:
+    """Guards against a wide step that loses all attempts to one worker."""
+    worker = _limited('w1', task_placement.Access.CLOSED)
+    recourse = task_demand.Recourse.ANY
+    demand = builders.demand(tasks=2, used_by_worker={'w1': 1})
+    demand = dataclasses.replace(demand, recourse=recourse)
+    assert not task_planning.plan([demand], [worker], []).starts
+    lasting = builders.demand(tasks=2, used_by_worker={'w1': 1}, endless=True)
+    lasting = dataclasses.replace(lasting, recourse=recourse)
+    assert task_planning.plan([lasting], [worker], []).starts
+
+
+def test_work_without_room_does_not_hide_a_last_resort() -> None:
+    """Guards against a search that is cut short by the one before it."""
+    workers = [
+        builders.worker('w1', free=FULL),
+        _limited('w2', task_placement.Access.LAST_RESORT),
+    ]
+    stuck = builders.demand('a1', sequence=1)
+    alone = dataclasses.replace(
+        builders.demand('a2', sequence=2),
+        recourse=task_demand.Recourse.PROBE,
+    )
+    plan = task_planning.plan([stuck, alone], workers, [])
+    assert [start.worker_ids for start in plan.starts] == [('w2', )]
--- a/tests/policy/test_worker_exclusion.py
+++ b/tests/policy/test_worker_exclusion.py
@@ -3,11 +3,13 @@
 
 import dataclasses
 import itertools
+import typing
 
 import pytest
 
 from nutmegworks.model import ids
 from nutmegworks.policy import task_demand
+from nutmegworks.policy import task_placement
 from nutmegworks.policy import worker_exclusion
 from nutmegworks.tasks import spec
 from tests import fleet_builders
@@ -130,6 +132,159 @@
     )
 
 
+def test_exclusion_ends_soon_after_faults_do() -> None:
+    """Workers fail everything for 6.5 s at most; others may reject starts."""
+    workers = [fleet_builders.worker('a'), fleet_builders.worker('b')]
+    demand = fleet_builders.demand()
+    assert worker_exclusion.choose(demand, {A: 6.5}, workers) == {A}
+    assert not worker_exclusion.choose(demand, {A: 13.0}, workers)
+
+
+def test_half_of_the_workers_stay_for_a_job_that_fails_everywhere() -> None:
+    """Guards against a wide step that is left with a single worker."""
+    workers = [fleet_builders.worker(name) for name in 'abcd']
+    failed = {A: LATER, B: LATER + 0.1, C: LATER + 0.2}
+    demand = fleet_builders.demand(tasks=16)
+    assert worker_exclusion.choose(demand, failed, workers) == {A, B}
+
+
+# A worker whose only run takes another minute.
+BUSY = fleet_builders.worker(
+    'b',
+    free=spec.Resources(),
+    releases=[(60.0, fleet_builders.WHOLE_WORKER)],
+)
+SUSPENDED = dataclasses.replace(
+    fleet_builders.worker('a'), access=task_placement.Access.LAST_RESORT
+)
+
+
+def _standing(
+    idle: float | None,
+    *,
+    half_empty: bool = True,
+    last_attempt: bool = False,
+) -> worker_exclusion.Standing:
+    return worker_exclusion.Standing(idle, half_empty, last_attempt)
+
+
+def _restrict(
+    workers: typing.Iterable[task_placement.WorkerCapacity],
+    standing: worker_exclusion.Standing,
+    failed: typing.Mapping[ids.WorkerId, float] | None = None,
+    **options: typing.Any,
+) -> task_demand.Demand:
+    return worker_exclusion.Workers(workers).restrict(
+        fleet_builders.demand(**options), failed or {}, standing
+    )
+
+
+@pytest.mark.parametrize(
+    ('standing', 'options', 'excluded'),
+    [
+        # Nothing runs and half of the service is free: lost after 3 s.
+        (_standing(2.5), {}, set()),
+        (_standing(2.5), {
+            'priority': 0
+        }, set()),
+        # The class's target: no spare time.
+        (_standing(2.5, half_empty=False), {
+            'waited': 20.0
+        }, set()),
+        (_standing(None), {
+            'waited': 20.0
+        }, set()),
+        # With the next failure the job would fail for good.
+        (
+            _standing(2.5, half_empty=False, last_attempt=True),
+            {
+                'waited': 20.0,
+                'objective': 60.0
+            },
+            {A},
+        ),
+    ],
+)
+def test_busy_alternative_delays_no_longer_than_allowed(
+    standing: worker_exclusion.Standing,
+    options: dict[str, typing.Any],
+    excluded: set[ids.WorkerId],
+) -> None:
+    """Guards against a free worker that is kept from the work it could do."""
+    workers = [fleet_builders.worker('a'), BUSY]
+    demand = _restrict(workers, standing, {A: LATER}, **options)
+    assert demand.excluded_worker_ids == excluded
+
+
+def test_alternative_that_is_free_in_time_is_waited_for() -> None:
+    """A failure costs one of few attempts."""
+    soon = fleet_builders.worker(
+        'b',
+        free=spec.Resources(),
+        releases=[(4.0, fleet_builders.WHOLE_WORKER)],
+    )
+    workers = [fleet_builders.worker('a'), soon]
+    standing = _standing(None)
+    demand = _restrict(workers, standing, {A: LATER}, objective=10.0)
+    assert demand.excluded_worker_ids == {A}
+    demand = _restrict(workers, standing, {A: LATER}, objective=6.0)
+    assert not demand.excluded_worker_ids
+
+
+Recourse = task_demand.Recourse
+
+
+@pytest.mark.parametrize(
+    ('others', 'standing', 'options', 'recourse'),
+    [
+        ([fleet_builders.worker('b')], _standing(9.0), {}, Recourse.NONE),
+        ([], _standing(0.0), {}, Recourse.PROBE),
+        ([], _standing(2.5), {}, Recourse.ANY),
+        # More than half of the service is in use, so that no rule binds.
+        ([], _standing(9.0, half_empty=False), {}, Recourse.PROBE),
+        ([], _standing(None), {}, Recourse.PROBE),
+        ([BUSY], _standing(0.0), {}, Recourse.PROBE),
+        ([BUSY], _standing(2.5), {}, Recourse.ANY),
+        # Urgent work preempts there.
+        (
+            [BUSY],
+            _standing(9.0, half_empty=False),
+            {
+                'priority': 0
+            },
+            Recourse.NONE,
+        ),
+        # Tasks that last must start however full their service is.
+        (
+            [BUSY],
+            _standing(2.5, half_empty=False),
+            {
+                'endless': True
+            },
+            Recourse.ANY,
+        ),
+    ],
+)
+def test_suspended_worker_is_used_where_no_other_can_take_the_work(
+    others: list[task_placement.WorkerCapacity],
+    standing: worker_exclusion.Standing,
+    options: dict[str, typing.Any],
+    recourse: task_demand.Recourse,
+) -> None:
+    """Guards against a suspension that keeps work from running."""
+    demand = _restrict([SUSPENDED, *others], standing, **options)
+    assert demand.recourse is recourse
+
+
+def test_suspended_worker_that_cannot_run_the_work_is_no_recourse() -> None:
+    """Its demands would be planned one by one in vain."""
+    elsewhere = dataclasses.replace(
+        SUSPENDED, service_id=ids.ServiceId('elsewhere')
+    )
+    demand = _restrict([elsewhere], _standing(9.0))
+    assert demand.recourse is Recourse.NONE
+
+
 def test_every_step_that_fits_has_a_worker_after_the_pause() -> None:
     """Guards against any set of failures that keeps a step from running."""
     workers = [fleet_builders.worker(name) for name in 'abcd']
--- a/tests/policy/test_worker_health.py
+++ b/tests/policy/test_worker_health.py
@@ -6,6 +6,8 @@
 import pytest
 
 from nutmegworks.model import ids
+from nutmegworks.policy import task_placement
+from nutmegworks.policy import worker_exclusion
 from nutmegworks.policy import worker_health
 
 WORKER = ids.WorkerId('w1')
@@ -137,9 +139,10 @@
     _fail(health, T)
     began = T + worker_health.FIRST_SUSPENSION_SECONDS
     now = began + 1.0
-    assert health.accepts_probe(WORKER, [T - 50.0, T - 1.0], now)
-    assert not health.accepts_probe(WORKER, [T - 50.0, began + 0.5], now)
-    assert health.accepts_probe('w2', [now, now], now)
+    access = task_placement.Access
+    assert health.access(WORKER, [T - 50.0, T - 1.0], now) is access.PROBE
+    assert health.access(WORKER, [T - 50.0, began + 0.5], now) is access.CLOSED
+    assert health.access('w2', [now, now], now) is access.OPEN
 
 
 def test_failures_of_one_batch_are_one_suspension() -> None:
@@ -167,6 +170,20 @@
     assert health.status(WORKER, next_end) is PROBATION
 
 
+def test_suspect_is_a_last_resort_after_a_pause() -> None:
+    """Guards against work that only a suspended worker can run.
+
+    The pause protects the attempts of a job from a worker that fails all.
+    """
+    access = task_placement.Access
+    health = worker_health.WorkerHealth()
+    health.record_stall(WORKER, T)
+    assert health.access(WORKER, [T - 50.0], T + 1.0) is access.CLOSED
+    later = T + worker_exclusion.RETRY_SECONDS
+    assert health.access(WORKER, [T - 50.0], later) is access.LAST_RESORT
+    assert health.access(WORKER, [later], later + 0.1) is access.CLOSED
+
+
 def test_task_that_fails_everywhere_is_no_evidence() -> None:
     """Guards against workers suspended one after the other by one job."""
     assert not worker_health.is_own_fault(0)
