fleet: lost runs are counted in a module of their own

`starting tasks` also logs the demand's recourse, which tells a start on a suspended worker from others.

--- a/src/nutmegworks/fleet/scheduler.py
+++ b/src/nutmegworks/fleet/scheduler.py
@@ -162,6 +162,7 @@
             workers=[run.worker_id for run in created],
             waited=round(demand.waited, 3),
             prospect=demand.timeliness.name,
+            recourse=demand.recourse.value,
         )
         await curio.spawn(self._orders.start_runs, job, created, daemon=True)
 
--- a/src/nutmegworks/fleet/state.py
+++ b/src/nutmegworks/fleet/state.py
@@ -8,11 +8,11 @@
 import curio
 import logbook
 
+from nutmegworks.fleet import lost_runs
 from nutmegworks.fleet import membership
 from nutmegworks.fleet import table
 from nutmegworks.fleet import worker as fleet_worker
 from nutmegworks.model import ids
-from nutmegworks.policy import crash_limit
 from nutmegworks.policy import run_stops
 from nutmegworks.policy import task_durations
 from nutmegworks.policy import worker_health
@@ -140,57 +140,10 @@
         worker = self.workers_by_id.get(run.worker_id)
         if job is None or job.final:
             return
-        loss = crash_limit.classify(
-            crash_limit.LostRun(
-                sent=run.sent,
-                started=run.started,
-                reported=run.reported,
-                worker_ended=run.worker_ended,
-                worker_leaving=(
-                    worker is not None
-                    and worker.entry.state is workers.WorkerState.LEAVING
-                ),
-                worker_answers=worker_answers,
-            )
-        )
-        if loss is None:
-            return
-        name = table.task_name(run.task)
-        losses = job.progress.losses
-        age = membership.steady_clock() - run.ordered_at
-        self.changed_ids.add(job.job_id)
-        if run.step.endless and age > crash_limit.ENDLESS_STABLE_SECONDS:
-            losses.pop(name, None)
-            return
-        before = losses.get(name, records.Losses())
-        counted = before.workers
-        if run.step.endless:
-            address = str(
-                run.worker_id if worker is None else worker.entry.address
-            )
-            if not crash_limit.counts_for_lasting(loss, address in counted):
-                return
-            counted += (address, )
-        at_start = loss is crash_limit.Loss.CRASH_AT_START
-        count = records.Losses(
-            before.crashes_at_start + at_start, before.total + 1, counted
-        )
-        losses[name] = count
-        given_up = crash_limit.is_exhausted(
-            count.crashes_at_start, count.total
-        )
-        _LOG.info(
-            'task lost with its worker',
-            task=run.task.name,
-            run=run.number,
-            worker=run.worker_id,
-            loss=loss.value,
-            crashes_at_start=count.crashes_at_start,
-            losses=count.total,
-            given_up=given_up,
-        )
-        if given_up:
-            self.finish(job, records.JobState.FAILED)
+        if lost_runs.count(job, run, worker, worker_answers):
+            self.changed_ids.add(job.job_id)
+            if lost_runs.is_given_up(job, run.task):
+                self.finish(job, records.JobState.FAILED)
 
     def lose_reported_runs(
         self,
