fleet: log which workers a waiting step avoids

`workers avoided` now names the workers and the recourse at each change, not in each round. The test of a busy alternative checks the line.

--- a/src/nutmegworks/fleet/scheduler.py
+++ b/src/nutmegworks/fleet/scheduler.py
@@ -2,13 +2,14 @@
 from __future__ import annotations
 
 import functools
-import math
 import time
 import typing
 
 import curio
 import logbook
 
+from nutmegworks.fleet import avoidance
+from nutmegworks.fleet import capacities
 from nutmegworks.fleet import configuration_holder
 from nutmegworks.fleet import membership
 from nutmegworks.fleet import orders as fleet_orders
@@ -21,8 +22,6 @@
 from nutmegworks.policy import task_placement
 from nutmegworks.policy import task_planning
 from nutmegworks.policy import task_preemption
-from nutmegworks.policy import worker_exclusion
-from nutmegworks.policy import worker_health
 from nutmegworks.tasks import records
 from nutmegworks.tasks import spec
 from nutmegworks.tasks import workers
@@ -37,8 +36,6 @@
 # Added to the time in which victims stop, for which their resources stay
 # reserved; after that, resources that are not free are planned again.
 RESERVATION_MARGIN_SECONDS: typing.Final = 0.3
-# Least time until the end of a stopping run is reported.
-MIN_STOPPING_SECONDS: typing.Final = 0.05
 # Assumed for a leaving worker that does not say how long it still runs.
 LEAVING_SECONDS: typing.Final = 2.0
 
@@ -66,6 +63,8 @@
             tuple[task_placement.Placement, float],
         ] = {}
         self._terms = reservation_terms.ReservationTerms()
+        self._capacities = capacities.Capacities(state, bounds)
+        self._avoidance = avoidance.Avoidance(state, self._capacities)
 
     async def run(self) -> None:
         """Run a round whenever something has changed, until cancelled."""
@@ -81,12 +80,12 @@
     async def _round(self) -> None:
         now = membership.steady_clock()
         self._drain_leaving_workers(now)
-        waiting = self._restrict(self._demands(now), now)
+        waiting = self._avoidance.restrict(self._demands(now), now)
         pauses = self._terms.pauses({demand.key for demand in waiting}, now)
         if waiting:
             plan = task_planning.plan(
                 waiting,
-                self._worker_capacities(now),
+                self._capacities.available(now),
                 self._running(now),
                 self._valid_reservations(now),
                 self._bounds,
@@ -204,75 +203,6 @@
             created.append(run)
         return created
 
-    def _worker_capacities(
-        self,
-        now: float,
-    ) -> list[task_placement.WorkerCapacity]:
-        available_by_id = {
-            worker_id: worker
-            for worker_id, worker in self._state.workers_by_id.items()
-            if worker.available(now)
-        }
-        suspect_ids = self._state.worker_health.suspects(
-            available_by_id.keys(), now
-        )
-        return [
-            self._worker_capacity(worker, now, suspect_ids)
-            for worker in available_by_id.values()
-        ]
-
-    def _worker_capacity(
-        self,
-        worker: fleet_worker.Worker,
-        now: float,
-        suspect_ids: typing.Collection[ids.WorkerId],
-    ) -> task_placement.WorkerCapacity:
-        releases = []
-        for run in worker.runs_by_key.values():
-            after = run.remaining(now)
-            if run.phase is table.RunPhase.STOPPING:
-                stops_at = run.stopped_at + self._bounds.stop
-                after = max(MIN_STOPPING_SECONDS, stops_at - now)
-            if math.isinf(after):
-                continue
-            releases.append(task_placement.Release(after, run.step.resources))
-        entry = worker.entry
-        return task_placement.WorkerCapacity(
-            entry.worker_id,
-            entry.service_id,
-            entry.rack,
-            entry.labels,
-            entry.resources,
-            worker.free_resources(),
-            tuple(releases),
-            slow=self._should_avoid(worker.worker_id, now),
-            access=self._access(worker, now, suspect_ids),
-        )
-
-    def _access(
-        self,
-        worker: fleet_worker.Worker,
-        now: float,
-        suspect_ids: typing.Collection[ids.WorkerId],
-    ) -> task_placement.Access:
-        health = self._state.worker_health
-        status = health.status(worker.worker_id, now)
-        if (status is worker_health.Health.SUSPECT
-                and worker.worker_id not in suspect_ids):
-            return task_placement.Access.OPEN
-        return health.access(
-            worker.worker_id,
-            (run.ordered_at for run in worker.runs_by_key.values()),
-            now,
-        )
-
-    def _should_avoid(self, worker_id: ids.WorkerId, now: float) -> bool:
-        """Return whether gangs and urgent work should avoid a worker."""
-        return (
-            self._state.worker_speeds.is_slow(worker_id)
-            or self._state.worker_health.failed_recently(worker_id, now)
-        )
-
     def _running(self, now: float) -> list[task_preemption.RunningTask]:
         return [
             _running_task(run, now)
@@ -376,64 +306,6 @@
             },
         )
 
-    def _restrict(
-        self,
-        demands: typing.Iterable[task_demand.Demand],
-        now: float,
-    ) -> list[task_demand.Demand]:
-        """Return the demands with the workers to avoid after failures."""
-        usable: worker_exclusion.Workers | None = None
-        any_suspended = self._state.worker_health.any_suspended()
-        waiting = []
-        for demand in demands:
-            job = self._state.jobs_by_id[demand.job_id]
-            if job.failed_at_by_worker or any_suspended:
-                if usable is None:
-                    usable = worker_exclusion.Workers(
-                        self._usable_workers(now)
-                    )
-                demand = usable.restrict(
-                    demand,
-                    {
-                        worker_id: now - failed
-                        for worker_id, failed in
-                        job.failed_at_by_worker.items()
-                    },
-                    worker_exclusion.Standing(
-                        _idle_seconds(job, demand, now),
-                        usable.is_half_empty(demand.service_id),
-                        any(
-                            job.is_last_attempt(task)
-                            for task in _tasks(demand)
-                        ),
-                    ),
-                )
-            waiting.append(demand)
-        return waiting
-
-    def _usable_workers(
-        self,
-        now: float,
-    ) -> typing.Iterator[task_placement.WorkerCapacity]:
-        """Yield the workers to which a step can turn after a failure.
-
-        Their totals are without what tasks that last hold.
-        """
-        usable_by_id = {
-            worker_id: worker
-            for worker_id, worker in self._state.workers_by_id.items()
-            if worker.usable(now)
-        }
-        suspect_ids = self._state.worker_health.suspects(
-            usable_by_id.keys(), now
-        )
-        for worker in usable_by_id.values():
-            capacity = self._worker_capacity(worker, now, suspect_ids)
-            for run in worker.runs_by_key.values():
-                if run.step.endless:
-                    capacity.total = capacity.total.minus(run.step.resources)
-            yield capacity
-
     def _drain_leaving_workers(self, now: float) -> None:
         """Stop runs that will not end before their worker has left."""
         for worker in self._state.workers_by_id.values():
@@ -450,27 +322,6 @@
                     self._state.stop_gang(run, 'worker of a member is leaving')
 
 
-def _idle_seconds(
-    job: table.Job,
-    demand: task_demand.Demand,
-    now: float,
-) -> float | None:
-    """Return for how long a job has had nothing running, None if it has.
-
-    A task that lasts must run whatever else of its job does.
-    """
-    if job.runs_by_task and not demand.step.endless:
-        return None
-    return min(demand.waited, now - job.idle_since)
-
-
-def _tasks(demand: task_demand.Demand) -> typing.Iterator[spec.TaskKey]:
-    for index in demand.indexes:
-        yield spec.TaskKey(
-            demand.job_id, demand.occurrence, demand.step.number, index
-        )
-
-
 def _running_task(run: table.Run, now: float) -> task_preemption.RunningTask:
     task = run.task
     group: tuple[str, ...] = (task.name, )
--- a/tests/fleet/test_exclusion.py
+++ b/tests/fleet/test_exclusion.py
@@ -4,6 +4,7 @@
 import typing
 
 import curio
+import logbook
 import pytest
 
 from nutmegworks.fleet import membership
@@ -121,11 +122,21 @@
             step = builders.step(requirements='special')
             builders.put_job(store, JOB, builders.accepted(step, attempts=4))
             await builders.wait_until(lambda: len(fleet.starts) == 2)
-            _fail_runs(fleet, {JOB})
-            await builders.wait_until(
-                lambda: len(fleet.starts) == 3, seconds=3.0
-            )
+            with logbook.TestHandler() as log:
+                _fail_runs(fleet, {JOB})
+                await builders.wait_until(
+                    lambda: len(fleet.starts) == 3, seconds=3.0
+                )
             assert fleet.starts[-1][0] == SPECIAL
+            # On-call must see what the job waited for, without a line a round.
+            lines = [
+                record.kwargs
+                for record in log.records
+                if record.message == 'workers avoided'
+            ]
+            assert lines
+            assert lines[0]['workers'] == [SPECIAL]
+            assert len(lines) <= 3
 
     helpers.run(main)
 
