soak: labels, faulty workers, tasks that last, a store that ends in a write

Now: every fourth worker has a label that a fifth of the steps requires; a worker fails what it starts for up to 6.5 s; some jobs last and some always fail; the store ends with a write that took effect; half of the clients give up after a second, and what was refused to them must not run.

The checks of before stay: a job shown as `failed` is a violation unless one of its tasks has failed as often as its attempts allow, and a job without an end is one. `refused` is stricter, it counts starts and not only runs at the end.

--- a/tests/fleet/test_lasting_tasks.py
+++ b/tests/fleet/test_lasting_tasks.py
@@ -1,9 +1,12 @@
 """Tasks without an end beside gangs, lesser work and urgent work."""
 from __future__ import annotations
 
+import math
+
 import curio
 
 from nutmegworks.fleet import leader
+from nutmegworks.fleet import membership
 from nutmegworks.fleet import table
 from nutmegworks.model import ids
 from nutmegworks.policy import task_planning
@@ -39,6 +42,25 @@
     await builders.wait_until(lambda: _running(term, 'a1') == count)
 
 
+def test_task_that_lasts_has_no_expected_end() -> None:
+    """Guards against a wait for its release, which never comes."""
+
+    async def main() -> None:
+        store = memory.MemoryStore()
+        fleet = memory.MemoryWorkers()
+        fleet.percent = 100
+        for number in range(WORKERS):
+            builders.put_worker(store, f'w{number}')
+        async with builders.running_term(store, fleet) as term:
+            await _start_lasting(store, term, WORKERS)
+            job = term.state.jobs_by_id[ids.JobId('a1')]
+            now = membership.steady_clock()
+            assert {run.remaining(now)
+                    for run in job.runs_by_task.values()} == {math.inf}
+
+    helpers.run(main)
+
+
 def test_lesser_work_starts_beside_a_gang_without_room() -> None:
     """Guards against workers that are reserved for a gang for ever.
 
--- a/tests/fleet/test_probation.py
+++ b/tests/fleet/test_probation.py
@@ -7,6 +7,7 @@
 from nutmegworks.fleet import membership
 from nutmegworks.fleet import table
 from nutmegworks.model import ids
+from nutmegworks.policy import worker_exclusion
 from nutmegworks.policy import worker_health
 from tests.fleet import builders
 from tests.fleet import memory
@@ -47,7 +48,10 @@
 
 
 def test_worker_with_a_lasting_task_gets_a_run_on_probation() -> None:
-    """Guards against a worker that never gets work again."""
+    """Guards against a worker that never gets work again.
+
+    The run is its probe, before the job may turn to any worker.
+    """
 
     async def main() -> None:
         store = memory.MemoryStore()
@@ -57,7 +61,10 @@
             _put_lasting(store, LASTING)
             await _suspend(term)
             builders.put_job(store, 'c1', builders.accepted())
-            await builders.wait_until(lambda: _is_running(term, 'c1'))
+            await builders.wait_until(
+                lambda: _is_running(term, 'c1'),
+                seconds=worker_exclusion.MAX_IDLE_SECONDS / 2,
+            )
             # Its outcome is awaited before another run starts.
             builders.put_job(store, 'c2', builders.accepted())
             await curio.sleep(0.5)
@@ -80,7 +87,10 @@
             await builders.wait_until(lambda: _is_running(term, 'c1'))
             builders.put_job(store, 'c2', builders.accepted())
             await builders.wait_until(
-                lambda: _is_running(term, 'c2'), seconds=8.0
+                lambda: _is_running(term, 'c2') and term.state.worker_health.
+                status(WORKER, membership.steady_clock()
+                       ) is worker_health.Health.HEALTHY,
+                seconds=8.0,
             )
 
     helpers.run(main)
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -24,9 +24,13 @@
     :param cancelled_at: monotonic seconds of the cancellation: when it was
         sent, then when it was acknowledged.
     :param states: the states that a caller read, without repetitions.
+    :param attempts: failures of a task after which the job fails.
+    :param always_fails: all of its runs fail through their own fault.
     """
 
     submission: spec.Submission
+    attempts: int = 3
+    always_fails: bool = False
     accepted: bool = False
     uncertain: bool = False
     cancelled_at: float | None = None
@@ -38,7 +42,8 @@
 
     :ivar violations: one text per violation, which starts with the rule:
         ``limit`` (a worker exceeds its resources), ``lost`` (a job is
-        unknown, failed, cancelled or unfinished without cause), ``mixed``
+        unknown, failed, cancelled or unfinished without cause, or a step
+        waits beside room), ``mixed``
         (a job succeeds before its steps), ``order`` (a step starts before
         its dependency), ``refused`` (a refused job runs), ``twice`` (a task
         runs again) or ``unasked`` (a run with another payload or of a
@@ -54,16 +59,32 @@
         self._used_by_worker: dict[str, spec.Resources] = {}
         self._finished_units: set[str] = set()
         self._acknowledged_units: set[str] = set()
+        self._failures_by_unit: collections.Counter[str] = (
+            collections.Counter()
+        )
+        self._started_ids: set[ids.JobId] = set()
+        self._last_end_by_job: dict[ids.JobId, float] = {}
 
-    def record_submission(self, job_id: ids.JobId, body: bytes) -> JobView:
-        view = JobView(wire.decode_submission(body))
+    def record_submission(
+        self,
+        job_id: ids.JobId,
+        body: bytes,
+        *,
+        attempts: int = 3,
+        always_fails: bool = False,
+    ) -> JobView:
+        view = JobView(wire.decode_submission(body), attempts, always_fails)
         self.jobs_by_id[job_id] = view
         return view
 
+    def job(self, name: str) -> JobView:
+        """Return the job of a task, by the task's name."""
+        return self.jobs_by_id[spec.TaskKey.parse(name).job_id]
+
     def step(self, task: spec.TaskKey) -> spec.Step:
         return self.jobs_by_id[task.job_id].submission.steps[task.step]
 
-    def _report(self, rule: str, detail: str) -> None:
+    def report(self, rule: str, detail: str) -> None:
         self.violations.append(f'{rule}: {detail}')
 
     def record_start(
@@ -79,23 +100,24 @@
         task = spec.TaskKey.parse(name)
         view = self.jobs_by_id[task.job_id]
         step = self.step(task)
+        self._started_ids.add(task.job_id)
         if payload != view.submission.payload:
-            self._report('unasked', f'{name} with another payload')
+            self.report('unasked', f'{name} with another payload')
         if self._active_by_task[name]:
-            self._report('twice', f'{name} run {run} on {worker_id}')
+            self.report('twice', f'{name} run {run} on {worker_id}')
         if self._unit_name(name) in self._acknowledged_units:
-            self._report(
+            self.report(
                 'twice', f'{name} run {run} after its end was acknowledged'
             )
         for dependency in step.depends_on:
-            if not self._step_done(task, dependency):
-                self._report('order', f'{name} before step {dependency}')
+            if not self.step_done(task, dependency):
+                self.report('order', f'{name} before step {dependency}')
         self._active_by_task[name].add((worker_id, run))
         used = self._used_by_worker.get(worker_id, spec.Resources())
         used = used.plus(step.resources)
         self._used_by_worker[worker_id] = used
         if not resources.can_fit(used):
-            self._report('limit', f'{worker_id} uses {used}')
+            self.report('limit', f'{worker_id} uses {used}')
         return step
 
     def _unit_name(self, name: str) -> str:
@@ -104,7 +126,7 @@
             return name.rsplit('.', 1)[0]
         return name
 
-    def _step_done(self, task: spec.TaskKey, number: int) -> bool:
+    def step_done(self, task: spec.TaskKey, number: int) -> bool:
         group = f'{task.job_id}.{task.occurrence}.{number}'
         step = self.jobs_by_id[task.job_id].submission.steps[number]
         if step.gang:
@@ -126,11 +148,43 @@
         :param kind: None if the worker crashed.
         """
         self._active_by_task[name].discard((worker_id, run))
-        resources = self.step(spec.TaskKey.parse(name)).resources
+        task = spec.TaskKey.parse(name)
+        self._last_end_by_job[task.job_id] = time.monotonic()
+        resources = self.step(task).resources
         used = self._used_by_worker[worker_id]
         self._used_by_worker[worker_id] = used.minus(resources)
         if kind is workers.EndKind.DONE:
             self._finished_units.add(self._unit_name(name))
+        if kind is workers.EndKind.FAILED:
+            self._failures_by_unit[self._unit_name(name)] += 1
+
+    def free(self, worker_id: str, total: spec.Resources) -> spec.Resources:
+        """Return what no run uses of a worker's resources."""
+        used = self._used_by_worker.get(worker_id, spec.Resources())
+        return total.minus(used)
+
+    def last_end(self, job_id: ids.JobId) -> float:
+        """Return when a run of a job last ended, in monotonic seconds."""
+        return self._last_end_by_job.get(job_id, 0.0)
+
+    def running(self, job_id: ids.JobId, step: spec.StepNumber) -> int:
+        """Return how many tasks of a step run."""
+        prefix = f'{job_id}.0.{step}.'
+        return sum(
+            bool(active)
+            for name, active in self._active_by_task.items()
+            if name.startswith(prefix)
+        )
+
+    def may_have_failed(self, job_id: ids.JobId) -> bool:
+        """Return whether a task has failed as often as its job allows."""
+        view = self.jobs_by_id[job_id]
+        return any(
+            count >= view.attempts
+            for unit, count in self._failures_by_unit.items()
+            if unit.startswith(f'{job_id}.')
+            and not view.submission.steps[int(unit.split('.')[2])].endless
+        )
 
     def record_acknowledged(
         self,
@@ -151,34 +205,35 @@
                 job_id, spec.Occurrence(0), spec.StepNumber(0), 0
             )
             for step in view.submission.steps:
-                if not self._step_done(task, step.number):
-                    self._report('mixed', f'{job_id} succeeded unfinished')
-        if state == 'failed':
-            self._report('lost', f'{job_id} shown as failed')
+                if not self.step_done(task, step.number):
+                    self.report('mixed', f'{job_id} succeeded unfinished')
+        if state == 'failed' and not self.may_have_failed(job_id):
+            self.report('lost', f'{job_id} shown as failed')
         if state == 'cancelled' and view.cancelled_at is None:
-            self._report('lost', f'{job_id} shown as cancelled')
+            self.report('lost', f'{job_id} shown as cancelled')
 
     def unfinished(self) -> list[ids.JobId]:
-        """Return accepted jobs whose success was not shown."""
+        """Return accepted jobs whose end was not shown."""
         return [
-            job_id for job_id, view in self.jobs_by_id.items() if view.accepted
-            and view.cancelled_at is None and 'succeeded' not in view.states
+            job_id for job_id, view in self.jobs_by_id.items()
+            if view.accepted and view.cancelled_at is None
+            and not {'succeeded', 'failed'} & set(view.states)
         ]
 
     def finish(self) -> None:
         """Check what must hold after the faults and the time to settle."""
         for job_id in self.unfinished():
-            self._report('lost', f'{job_id} never shown as succeeded')
+            self.report('lost', f'{job_id} never shown as ended')
+        for job_id in self._started_ids:
+            view = self.jobs_by_id[job_id]
+            if not view.accepted and not view.uncertain:
+                self.report('refused', f'{job_id} was started')
         for name, active in self._active_by_task.items():
             job_id = spec.TaskKey.parse(name).job_id
             view = self.jobs_by_id[job_id]
             if active and view.cancelled_at is not None:
                 age = time.monotonic() - view.cancelled_at
-                self._report(
-                    'unasked', f'{name} runs {age:.1f} s after cancel'
-                )
-            if not view.accepted and not view.uncertain and active:
-                self._report('refused', f'{name} runs')
+                self.report('unasked', f'{name} runs {age:.1f} s after cancel')
 
 
 __all__ = ('HistoryChecker', 'JobView', 'SERVICE')
--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -21,6 +21,7 @@
 from tests.soak import checker as checkers
 
 STOP_DELAY_SECONDS: typing.Final = 0.1
+FAILURE_SECONDS: typing.Final = 0.1
 GANG_TIMEOUT_SECONDS: typing.Final = 3.0
 MAX_LEASE_SECONDS: typing.Final = 10.0
 TICK_SECONDS: typing.Final = 0.02
@@ -45,12 +46,15 @@
 
     :ivar delay_seconds: seconds by which each call is delayed.
     :ivar lose_every: every how many writes an answer is lost; 0 for never.
+    :ivar ends_at_write: the store ends with the next write: it takes effect,
+        its connection breaks, and the store is down.
     """
 
     def __init__(self) -> None:
         self.store = memory.MemoryStore()
         self.delay_seconds = 0.0
         self.lose_every = 0
+        self.ends_at_write = False
         self._writes = 0
         self._lease_expires_at: dict[int, tuple[float, float]] = {}
 
@@ -143,6 +147,10 @@
         if self.lose_every and self._writes % self.lose_every == 0:
             raise server.AbortConnection()
         commit = committed.ok_value
+        if self.ends_at_write and transaction.writes:
+            self.ends_at_write = False
+            self.store.down = True
+            raise server.AbortConnection()
         if commit.outcome is interfaces.CommitOutcome.NO_LEASE:
             return _respond(404, {})
         if commit.outcome is interfaces.CommitOutcome.CONFLICT:
@@ -215,7 +223,8 @@
         if len(members) == step.count:
             end = time.monotonic() + seconds
             for member in members.values():
-                member.ends_at = end
+                if member.ends_at is None:
+                    member.ends_at = end
 
     def leave(self, gang: GangKey, task: str, kind: workers.EndKind) -> None:
         """Remove a member; end the other members unless it is done."""
@@ -233,6 +242,8 @@
 
     :ivar silent: whether it neither applies nor answers requests.
     :ivar unheard: whether its answers are lost; requests take effect.
+    :ivar faulty: whether it fails all that it starts.
+    :param kind: label of its kind.
     """
 
     def __init__(
@@ -241,8 +252,11 @@
         resources: spec.Resources,
         checker: checkers.HistoryChecker,
         gangs: GangRuns,
+        kind: str = 'a',
     ) -> None:
         self.worker_id = worker_id
+        self.kind = kind
+        self.faulty = False
         self.silent = False
         self.unheard = False
         self._resources = resources
@@ -275,7 +289,7 @@
                     'memMb': self._resources.memory,
                     'gpu': self._resources.accelerators,
                 },
-                'labels': ['a', 'r1-1'],
+                'labels': [self.kind, 'r1-1'],
                 'born': self.incarnation,
                 'sequence': 1,
             }
@@ -292,7 +306,7 @@
                 elif (active_run.ends_at is not None
                       and now > active_run.ends_at):
                     self._end(key, active_run.kind)
-                elif (active_run.ends_at is None
+                elif (active_run.ends_at is None and not self._lasts(key)
                       and now - active_run.started_at > GANG_TIMEOUT_SECONDS):
                     self._end(key, workers.EndKind.GANG_INCOMPLETE)
 
@@ -306,6 +320,9 @@
             self._gangs.leave(_gang_key(*key), key[0], kind)
         self._checker.record_end(self.worker_id, *key, kind)
 
+    def _lasts(self, key: tuple[str, int]) -> bool:
+        return self._checker.step(spec.TaskKey.parse(key[0])).endless
+
     def _clock_ms(self) -> int:
         return int(time.monotonic() * 1000)
 
@@ -354,7 +371,11 @@
         )
         seconds = step.estimate
         now = time.monotonic()
-        active_run = _ActiveRun(now, None if step.gang else now + seconds)
+        waits = step.gang or step.endless
+        active_run = _ActiveRun(now, None if waits else now + seconds)
+        if self.faulty or self._checker.job(key[0]).always_fails:
+            active_run.ends_at = now + FAILURE_SECONDS
+            active_run.kind = workers.EndKind.FAILED
         self._active_by_key[key] = active_run
         if step.gang:
             self._gangs.join(
@@ -392,7 +413,7 @@
         now = time.monotonic()
         running = []
         for (task, run), active_run in self._active_by_key.items():
-            percent = 0
+            percent = 100 if self._lasts((task, run)) else 0
             if active_run.ends_at is not None:
                 duration = max(
                     0.01, active_run.ends_at - active_run.started_at
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -35,6 +35,7 @@
 from standins import relay as relays
 from tests.soak import checker as checkers
 from tests.soak import platform
+from tests.soak import waiting
 
 HOST: typing.Final = '127.0.0.1'
 QUEUE_HOST: typing.Final = 'soak.example'
@@ -46,11 +47,26 @@
 SETTLE_TIMEOUT_SECONDS: typing.Final = 45.0
 CALL_TIMEOUT_SECONDS: typing.Final = 3.0
 SUBMIT_TIMEOUT_SECONDS: typing.Final = 15.0
+# Clients that don't persist give up after this time; all of their attempts may
+# have been refused.
+IMPATIENT_SECONDS: typing.Final = 1.0
+# After the faults and the load, waiting jobs get room within this time.
+FINISH_SECONDS: typing.Final = 14.0
+# For which the waiting of jobs is judged after that, with the tasks that last.
+JUDGED_SECONDS: typing.Final = 10.0
+CHECK_INTERVAL_SECONDS: typing.Final = 0.2
 POLL_INTERVAL_SECONDS: typing.Final = 0.3
 HEARTBEAT_INTERVAL_SECONDS: typing.Final = 1.0
 # Faults of the leader reveal more than those of other daemons.
 LEADER_SHARE: typing.Final = 0.6
 WORKER_RESOURCES: typing.Final = spec.Resources(8000, 8000, 4)
+ATTEMPTS: typing.Final = 4
+# Of the workers, every fourth has the label that some steps require.
+KINDS: typing.Final = ('a', 'a', 'a', 'b')
+# Share of the jobs that require the label, that last and that always fail.
+LABELLED_SHARE: typing.Final = 0.2
+LASTING_SHARE: typing.Final = 0.08
+FAILING_SHARE: typing.Final = 0.05
 
 # Below the ephemeral ports of the kernel: an outgoing connection could take
 # the port of a daemon that is down.
@@ -184,17 +200,21 @@
         self._pool = pool.Pool()
         self._address_by_worker: dict[str, str] = {}
         self._job_tasks: list[curio.Task] = []
+        # Targets of accepted jobs that last.
+        self._lasting: dict[ids.JobId, str] = {}
         self._faults = {
             'kill': self._kill,
             'term': self._terminate,
             'pause': self._pause,
             'cut': self._disturb_link,
             'store-down': self._stop_store,
+            'store-ends': self._end_store_at_write,
             'store-slow': self._slow_store,
             'store-loses': self._lose_store_answers,
             'history': self._drop_history,
             'worker-silent': self._silence_worker,
             'worker-crash': self._crash_worker,
+            'worker-faulty': self._fail_runs_of_worker,
             'worker-unheard': self._lose_worker_answers,
             'worker-lost': self._lose_worker,
             'worker-moves': self._move_worker,
@@ -220,6 +240,8 @@
             faults = await curio.spawn(self._inject_faults)
             await faults.join()
             await load.join()
+            await self._judge_waiting()
+            await self._cancel_lasting()
             await self._settle()
             self.checker.finish()
         finally:
@@ -228,10 +250,12 @@
                 daemon.send_signal(signal.SIGKILL)
         return self.checker.violations
 
-    async def _add_worker(self) -> None:
+    async def _add_worker(self, kind: str | None = None) -> None:
+        if kind is None:
+            kind = KINDS[len(self._workers) % len(KINDS)]
         worker = platform.WorkerStandIn(
             f'w{len(self._workers)}', WORKER_RESOURCES, self.checker,
-            self._gang_runs
+            self._gang_runs, kind
         )
         self._workers.append(worker)
         await self._serve_worker(worker)
@@ -255,7 +279,7 @@
                     'prefix': f'{PREFIX}{priority}/',
                     'service': checkers.SERVICE,
                     'priority': priority,
-                    'maxAttempts': 3,
+                    'maxAttempts': ATTEMPTS,
                     'stretch': 3.0,
                     'targetLatencyMs': 1000,
                 } for priority in (0, 1)
@@ -339,7 +363,12 @@
                 'gang': rng.random() < 0.4,
             }
         ]
-        if rng.random() < 0.3:
+        if rng.random() < LABELLED_SHARE:
+            # A single worker may have to take them all.
+            steps[0].update(requirements='b', count=rng.choice((1, 2)))
+        if rng.random() < LASTING_SHARE:
+            steps[0].update(longRunning=True, gang=False, gpu=1, count=1)
+        elif rng.random() < 0.3:
             steps.append(
                 {
                     'count': 2,
@@ -358,8 +387,16 @@
         body = self._make_job()
         target = f'{PREFIX}{rng.choice((0, 1, 1))}/{job_id}'
         will_cancel = rng.random() < 0.15
-        view = self.checker.record_submission(job_id, body)
-        until = time.monotonic() + SUBMIT_TIMEOUT_SECONDS
+        lasts = b'longRunning' in body
+        view = self.checker.record_submission(
+            job_id,
+            body,
+            attempts=ATTEMPTS,
+            always_fails=not lasts and rng.random() < FAILING_SHARE,
+        )
+        patient = lasts or rng.random() < 0.5
+        until = time.monotonic(
+        ) + (SUBMIT_TIMEOUT_SECONDS if patient else IMPATIENT_SECONDS)
         while time.monotonic() < until and not view.accepted:
             daemon = rng.choice(self._daemons)
             answer = await self._call(daemon, 'POST', target, body)
@@ -372,6 +409,8 @@
         if will_cancel and view.accepted:
             await curio.sleep(rng.uniform(0, 1.5))
             await self._cancel(view, target)
+        if lasts and view.accepted and not will_cancel:
+            self._lasting[job_id] = target
         while view.accepted and not self._has_ended(view):
             answer = await self._call(
                 rng.choice(self._daemons), 'GET', target, b''
@@ -410,6 +449,27 @@
         for task in running:
             await task.join()
 
+    async def _judge_waiting(self) -> None:
+        """Check that no job waits beside room; tasks that last still run."""
+        await curio.sleep(FINISH_SECONDS)
+        check = waiting.WaitingCheck(self.checker)
+        until = time.monotonic() + JUDGED_SECONDS
+        while time.monotonic() < until:
+            check.check(
+                {
+                    worker.worker_id:
+                    waiting.WorkerView(WORKER_RESOURCES, {worker.kind})
+                    for worker in self._workers
+                    if not worker.silent
+                },
+                time.monotonic(),
+            )
+            await curio.sleep(CHECK_INTERVAL_SECONDS)
+
+    async def _cancel_lasting(self) -> None:
+        for job_id, target in self._lasting.items():
+            await self._cancel(self.checker.jobs_by_id[job_id], target)
+
     async def _settle(self) -> None:
         until = time.monotonic() + SETTLE_TIMEOUT_SECONDS
         for task in self._job_tasks:
@@ -456,6 +516,13 @@
         await curio.sleep(self._rng.uniform(0.3, 3.0))
         self._store.store.down = False
 
+    async def _end_store_at_write(self) -> None:
+        """End the store in the middle of a write, after it took effect."""
+        self._store.ends_at_write = True
+        await curio.sleep(self._rng.uniform(0.3, 3.0))
+        self._store.ends_at_write = False
+        self._store.store.down = False
+
     async def _slow_store(self) -> None:
         self._store.delay_seconds = 0.2
         await curio.sleep(self._rng.uniform(0.5, 3.0))
@@ -481,6 +548,12 @@
     async def _crash_worker(self) -> None:
         self._rng.choice(self._workers).restart()
 
+    async def _fail_runs_of_worker(self) -> None:
+        worker = self._rng.choice(self._workers)
+        worker.faulty = True
+        await curio.sleep(self._rng.uniform(0.5, 6.5))
+        worker.faulty = False
+
     async def _lose_worker_answers(self) -> None:
         worker = self._rng.choice(self._workers)
         worker.unheard = True
@@ -495,7 +568,7 @@
         if self._rng.random() < 0.5:
             self._store.store.remove(f'servers/{worker.worker_id}')
         await curio.sleep(self._rng.uniform(0.0, 2.0))
-        await self._add_worker()
+        await self._add_worker(worker.kind)
 
     async def _move_worker(self) -> None:
         """Restart a worker at another address."""
