--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -474,8 +474,11 @@
         until = time.monotonic() + SETTLE_TIMEOUT_SECONDS
         for task in self._job_tasks:
             remaining = max(0.1, until - time.monotonic())
-            if await curio.ignore_after(remaining, task.wait) is None:
+            await curio.ignore_after(remaining, task.wait)
+            if not task.terminated:
+                # The checker reports the job.
                 await task.cancel()
+                continue
             if task.exception is not None:
                 raise task.exception
             await task.join()
