--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -46,15 +46,16 @@
 
     :ivar delay_seconds: seconds by which each call is delayed.
     :ivar lose_every: every how many writes an answer is lost; 0 for never.
-    :ivar ends_at_write: the store ends with the next write: it takes effect,
-        its connection breaks, and the store is down.
+    :ivar ends_at_write: the store ends with the next write of a key with this
+        prefix: it takes effect, its connection breaks, and the store is down;
+        None for never.
     """
 
     def __init__(self) -> None:
         self.store = memory.MemoryStore()
         self.delay_seconds = 0.0
         self.lose_every = 0
-        self.ends_at_write = False
+        self.ends_at_write: str | None = None
         self._writes = 0
         self._lease_expires_at: dict[int, tuple[float, float]] = {}
 
@@ -147,8 +148,10 @@
         if self.lose_every and self._writes % self.lose_every == 0:
             raise server.AbortConnection()
         commit = committed.ok_value
-        if self.ends_at_write and transaction.writes:
-            self.ends_at_write = False
+        prefix = self.ends_at_write
+        if prefix is not None and any(write.key.startswith(prefix)
+                                      for write in transaction.writes):
+            self.ends_at_write = None
             self.store.down = True
             raise server.AbortConnection()
         if commit.outcome is interfaces.CommitOutcome.NO_LEASE:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -521,9 +521,9 @@
 
     async def _end_store_at_write(self) -> None:
         """End the store in the middle of a write, after it took effect."""
-        self._store.ends_at_write = True
+        self._store.ends_at_write = self._rng.choice(('', records.JOBS_PREFIX))
         await curio.sleep(self._rng.uniform(0.3, 3.0))
-        self._store.ends_at_write = False
+        self._store.ends_at_write = None
         self._store.store.down = False
 
     async def _slow_store(self) -> None:
