soak: cancels in flight at a change of leader

A cancel of a lasting job that nobody has acknowledged is repeated at the end, in place of counting as cancelled. The store is down for up to 3 s from the write in which it ends.

--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -167,6 +167,14 @@
         """Return when a run of a job last ended, in monotonic seconds."""
         return self._last_end_by_job.get(job_id, 0.0)
 
+    def worker_ids(self, job_id: ids.JobId) -> set[str]:
+        """Return the workers that run tasks of a job."""
+        return {
+            worker_id
+            for name, active in self._active_by_task.items()
+            if name.startswith(f'{job_id}.') for worker_id, _ in active
+        }
+
     def running(self, job_id: ids.JobId, step: spec.StepNumber) -> int:
         """Return how many tasks of a step run."""
         prefix = f'{job_id}.0.{step}.'
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -55,6 +55,8 @@
 # For which the waiting of jobs is judged after that, with the tasks that last.
 JUDGED_SECONDS: typing.Final = 10.0
 CHECK_INTERVAL_SECONDS: typing.Final = 0.2
+# For which the store waits for the write in which it ends.
+WRITE_TIMEOUT_SECONDS: typing.Final = 2.0
 POLL_INTERVAL_SECONDS: typing.Final = 0.3
 HEARTBEAT_INTERVAL_SECONDS: typing.Final = 1.0
 # Faults of the leader reveal more than those of other daemons.
@@ -206,6 +208,7 @@
             'kill': self._kill,
             'term': self._terminate,
             'pause': self._pause,
+            'cancel-then-kill': self._cancel_at_cut_worker_then_kill,
             'cut': self._disturb_link,
             'store-down': self._stop_store,
             'store-ends': self._end_store_at_write,
@@ -406,10 +409,11 @@
                 view.accepted = True
             else:
                 await curio.sleep(POLL_INTERVAL_SECONDS)
+        cancelled = False
         if will_cancel and view.accepted:
             await curio.sleep(rng.uniform(0, 1.5))
-            await self._cancel(view, target)
-        if lasts and view.accepted and not will_cancel:
+            cancelled = await self._cancel(view, target)
+        if lasts and view.accepted and not cancelled:
             self._lasting[job_id] = target
         while view.accepted and not self._has_ended(view):
             answer = await self._call(
@@ -426,14 +430,16 @@
     def _has_ended(view: checkers.JobView) -> bool:
         return bool({'succeeded', 'cancelled', 'failed'} & set(view.states))
 
-    async def _cancel(self, view: checkers.JobView, target: str) -> None:
+    async def _cancel(self, view: checkers.JobView, target: str) -> bool:
+        """Cancel a job; return whether that was acknowledged."""
         for daemon in self._daemons:
             # The cancellation may take effect even if no answer arrives.
             view.cancelled_at = time.monotonic()
             answer = await self._call(daemon, 'DELETE', target, b'')
             if answer is not None and answer.status == 200:
                 view.cancelled_at = time.monotonic()
-                return
+                return True
+        return False
 
     async def _inject_faults(self) -> None:
         until = time.monotonic() + self._plan.seconds
@@ -506,6 +512,27 @@
         await curio.sleep(self._rng.uniform(0.5, 4.0))
         daemon.send_signal(signal.SIGCONT)
 
+    async def _cancel_at_cut_worker_then_kill(self) -> None:
+        """Change the leader while a worker can't be told to stop a run."""
+        if not self._lasting:
+            return
+        job_id = self._rng.choice(sorted(self._lasting))
+        worker_ids = self.checker.worker_ids(job_id)
+        cut = [
+            worker for worker in self._workers
+            if worker.worker_id in worker_ids and not worker.silent
+        ]
+        for worker in cut:
+            worker.silent = True
+        target = self._lasting[job_id]
+        if await self._cancel(self.checker.jobs_by_id[job_id], target):
+            del self._lasting[job_id]
+        await curio.sleep(0.5)
+        self._choose_daemon().send_signal(signal.SIGKILL)
+        await curio.sleep(self._rng.uniform(1.0, 4.0))
+        for worker in cut:
+            worker.silent = False
+
     async def _disturb_link(self) -> None:
         relay = self._choose_daemon().relay
         assert relay is not None
@@ -522,8 +549,12 @@
     async def _end_store_at_write(self) -> None:
         """End the store in the middle of a write, after it took effect."""
         self._store.ends_at_write = self._rng.choice(('', records.JOBS_PREFIX))
-        await curio.sleep(self._rng.uniform(0.3, 3.0))
+        until = time.monotonic() + WRITE_TIMEOUT_SECONDS
+        while (self._store.ends_at_write is not None
+               and time.monotonic() < until):
+            await curio.sleep(0.05)
         self._store.ends_at_write = None
+        await curio.sleep(self._rng.uniform(0.3, 3.0))
         self._store.store.down = False
 
     async def _slow_store(self) -> None:
