soak: a refused cancel of a lasting job is sent again

Traced by the daemons' logs: the machine stood still for some 10 s, so that the daemons took the store for silent, and all three DELETEs were answered 503, "the cancel could not be stored". That was true, the jobs ran on rightly; the soak counted a cancel that was sent as one that was acknowledged. The case is allowed: the platform counts from the acknowledgement.

The soak now repeats each cancel at the end until it is acknowledged, and reports a job for which that does not come. What is checked after it is the same.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -473,8 +473,15 @@
             await curio.sleep(CHECK_INTERVAL_SECONDS)
 
     async def _cancel_lasting(self) -> None:
+        """Cancel the jobs that last, each until that is acknowledged."""
+        until = time.monotonic() + SETTLE_TIMEOUT_SECONDS
         for job_id, target in self._lasting.items():
-            await self._cancel(self.checker.jobs_by_id[job_id], target)
+            view = self.checker.jobs_by_id[job_id]
+            while not await self._cancel(view, target):
+                if time.monotonic() > until:
+                    self.checker.report('lost', f'{job_id} is not cancelled')
+                    break
+                await curio.sleep(POLL_INTERVAL_SECONDS)
 
     async def _settle(self) -> None:
         until = time.monotonic() + SETTLE_TIMEOUT_SECONDS
