policy: no preference keeps a job off free room for longer than LOST allows

Six tasks that really run for 40 s hold one accelerator of each worker, and a gang of six whole workers waits for them, rightly.

Cause: the room held for a gang ends by a term that is twice the expected wait and 2 s more, here 76 s. That LOST allows 3 s while half of a service is free was known to the avoidance of workers, to racks and to tasks that last, each in a form of its own, and not to the room held for gangs or for urgent work that waits for releases.

Change: policy/idle_limit is the one bound. A demand carries for how long its job has had nothing running. Avoidance and racks ask the bound, and each round ends with a pass for the demands whose time is up: these use unreserved workers first, then the reserved ones whose runs end last, so that the gang is delayed least, with one task of a job or its gang, and stop once half of the service is in use. Half of a service is counted by service, no longer over all of them. The check for half a service before the number of failures of a gang's waits goes: no test needed it, and the pass does its work.

--- a/src/nutmegworks/fleet/avoidance.py
+++ b/src/nutmegworks/fleet/avoidance.py
@@ -7,7 +7,6 @@
 
 from nutmegworks.fleet import capacities
 from nutmegworks.fleet import state as fleet_state
-from nutmegworks.fleet import table
 from nutmegworks.model import ids
 from nutmegworks.policy import task_demand
 from nutmegworks.policy import worker_exclusion
@@ -56,8 +55,7 @@
                         job.failed_at_by_worker.items()
                     },
                     worker_exclusion.Standing(
-                        _idle_seconds(job, demand, now),
-                        usable.is_half_empty(demand.service_id),
+                        usable.service_use.is_half_empty(demand.service_id),
                         any(
                             job.is_last_attempt(task)
                             for task in _tasks(demand)
@@ -94,20 +92,6 @@
                 )
 
 
-def _idle_seconds(
-    job: table.Job,
-    demand: task_demand.Demand,
-    now: float,
-) -> float | None:
-    """Return for how long a job has had nothing running, None if it has.
-
-    A task that lasts must run whatever else of its job does.
-    """
-    if job.runs_by_task and not demand.step.endless:
-        return None
-    return min(demand.waited, now - job.idle_since)
-
-
 def _tasks(demand: task_demand.Demand) -> typing.Iterator[spec.TaskKey]:
     for index in demand.indexes:
         yield spec.TaskKey(
--- a/src/nutmegworks/fleet/scheduler.py
+++ b/src/nutmegworks/fleet/scheduler.py
@@ -74,10 +74,11 @@
             )
             self._state.round_needed.clear()
             if self._member.may_act_as_leader():
-                await self._round()
+                await self.round()
             await curio.sleep(ROUND_PAUSE_SECONDS)
 
-    async def _round(self) -> None:
+    async def round(self) -> None:
+        """Run one round at the present time."""
         now = membership.steady_clock()
         self._drain_leaving_workers(now)
         waiting = self._avoidance.restrict(self._demands(now), now)
@@ -162,6 +163,7 @@
             waited=round(demand.waited, 3),
             prospect=demand.timeliness.name,
             recourse=demand.recourse.value,
+            overdue=start.overdue,
         )
         await curio.spawn(self._orders.start_runs, job, created, daemon=True)
 
@@ -281,6 +283,7 @@
                     job.accepted.priority == 0
                     and job.accepted.team in guaranteed_teams
                 ),
+                idle=_idle_seconds(job, step, waited, now),
             )
 
     def _teams_within_guarantee(self) -> typing.Collection[ids.TeamId]:
@@ -322,6 +325,23 @@
                     self._state.stop_gang(run, 'worker of a member is leaving')
 
 
+def _idle_seconds(
+    job: table.Job,
+    step: spec.Step,
+    waited: float,
+    now: float,
+) -> float | None:
+    """Return for how long a job has had nothing running, None if it has.
+
+    A task that lasts must run whatever else of its job does.
+
+    :param waited: see ``task_demand.Demand``.
+    """
+    if job.runs_by_task and not step.endless:
+        return None
+    return min(waited, now - job.idle_since)
+
+
 def _running_task(run: table.Run, now: float) -> task_preemption.RunningTask:
     task = run.task
     group: tuple[str, ...] = (task.name, )
--- a/src/nutmegworks/policy/task_demand.py
+++ b/src/nutmegworks/policy/task_demand.py
@@ -56,6 +56,9 @@
     :param indexes: the waiting tasks; a gang's are placed together.
     :param priority: class of the work; 0, the highest, is urgent.
     :param waited: seconds since the job was accepted or due.
+    :param idle: seconds for which the job has had nothing running though the
+        tasks could, None while it has. For tasks that last it does not matter
+        what else of the job runs.
     :param remaining: seconds of the longest chain of unfinished steps.
     :param objective: seconds from acceptance within which the job has its
         full value.
@@ -91,6 +94,7 @@
     )
     expected: float | None = None
     guaranteed: bool = False
+    idle: float | None = None
 
     @property
     def duration(self) -> float:
--- a/src/nutmegworks/policy/task_placement.py
+++ b/src/nutmegworks/policy/task_placement.py
@@ -112,6 +112,11 @@
         """Record that a demand has got room here in this round."""
         self.access = _AFTER_START[self.access]
 
+    @property
+    def last_release(self) -> float:
+        """Seconds until the last expected release, 0 if there is none."""
+        return max((release.after for release in self.releases), default=0.0)
+
     def add_release(self, release: Release) -> None:
         self.releases += (release, )
         self._released = None
@@ -361,13 +366,36 @@
     return best
 
 
-def is_half_empty(workers: typing.Iterable[WorkerCapacity]) -> bool:
-    """Return whether over half of the accelerators are free."""
-    free = total = 0
-    for worker in workers:
-        free += worker.free.accelerators
-        total += worker.total.accelerators
-    return 2 * free > total
+def place_beside_reservations(
+    demand: task_demand.Demand,
+    workers: typing.Sequence[WorkerCapacity],
+) -> Placement:
+    """Return workers for a demand that may start on reserved ones, too.
+
+    Workers that are not reserved come first, at best in a preferred rack. Of
+    the others, those come first whose present runs end last, as they delay
+    the demands that hold them least.
+    """
+    unreserved = [
+        worker for worker in workers if math.isinf(worker.reserved_from)
+    ]
+    placement = place(demand, unreserved, any_rack=True)
+    if len(placement) == len(demand.indexes):
+        return placement
+    if demand.step.gang:
+        return place(demand, workers, any_rack=True)
+    reserved = [
+        worker for worker in workers if not math.isinf(worker.reserved_from)
+    ]
+    reserved.sort(
+        key=lambda worker: (-worker.last_release, worker.free_score())
+    )
+    eligible = eligible_workers(demand, reserved)
+    for worker in eligible:
+        count = max_tasks_now(demand, worker, worker.free)
+        count = min(count, len(demand.indexes) - len(placement))
+        placement += [worker.worker_id] * count
+    return placement
 
 
 def fits_preferred_racks(
@@ -434,10 +462,10 @@
     'earliest_placement',
     'eligible_workers',
     'fits_preferred_racks',
-    'is_half_empty',
     'max_tasks',
     'max_tasks_now',
     'place',
+    'place_beside_reservations',
     'placement_groups',
     'shape_key',
 )
--- a/src/nutmegworks/policy/task_planning.py
+++ b/src/nutmegworks/policy/task_planning.py
@@ -10,6 +10,7 @@
 import typing
 
 from nutmegworks.model import ids
+from nutmegworks.policy import idle_limit
 from nutmegworks.policy import reservation_terms
 from nutmegworks.policy import task_demand
 from nutmegworks.policy import task_placement
@@ -32,11 +33,6 @@
 # Away from its data or over several racks, work takes three times as long.
 # Waiting for twice its duration and then running at full speed takes the same.
 ANY_RACK_WAIT_FACTOR: typing.Final = 2.0
-# While most of a service is free, a demand waits for preferred racks only this
-# long: waiting work may leave such a service idle for 3 s at most. Tasks
-# without an end must start in that time however full the service is, and avoid
-# workers that are reserved for others only this long.
-MAX_IDLE_WAIT_SECONDS: typing.Final = 1.5
 # Part of the time in which guaranteed work has to start that is not spent on
 # waiting and stopping: decisions, the store and the start itself.
 RECLAIM_MARGIN_SECONDS: typing.Final = 0.9
@@ -65,11 +61,14 @@
     """Tasks of a demand that start now.
 
     :param worker_ids: one for each of the indexes.
+    :param overdue: preferences would have kept them waiting; see
+        ``idle_limit``.
     """
 
     demand: task_demand.Demand
     indexes: tuple[int, ...]
     worker_ids: tuple[ids.WorkerId, ...]
+    overdue: bool = False
 
 
 # Workers whose resources are set aside for a demand until its victims have
@@ -123,6 +122,13 @@
         ] = {}
         self._workers = list(workers)
         self._running = list(running)
+        self._service_use = idle_limit.ServiceUse(workers)
+        # Demands with the tasks that got no room, in the order of service.
+        self._unplaced: list[task_demand.Demand] = []
+        # Free resources that are held for urgent demands until releases.
+        self._held_for_releases: list[
+            tuple[task_demand.Demand, task_placement.Placement],
+        ] = []
         self._worker_by_id = {worker.worker_id: worker for worker in workers}
         self.starts: list[Start] = []
         self.stops: list[tuple[task_preemption.RunningTask, ids.JobId]] = []
@@ -164,10 +170,7 @@
         placement = self._reservations.get(demand.key)
         if placement is None:
             return False
-        for worker_id in placement:
-            worker = self._worker_by_id.get(worker_id)
-            if worker is not None:
-                worker.free = worker.free.plus(demand.step.resources)
+        self._give_back(placement, demand)
         self._exhausted.clear()
         self._unplaced_gangs.clear()
         unplaced = self._start(demand)
@@ -192,8 +195,12 @@
             return
         self._record_wait(demand, wait_causes.WaitCause.LOWER_CLASS)
         if demand.priority == 0:
-            if self._wait_for_releases(demand) or self._preempt(demand):
+            if self._wait_for_releases(demand):
+                self._unplaced.append(demand)
                 return
+            if self._preempt(demand):
+                return
+        self._unplaced.append(demand)
         if (demand.step.gang and demand.key not in self._pauses.keys
                 and self.backfill_reservations < MAX_BACKFILL_RESERVATIONS):
             self._reserve_for_backfill(demand)
@@ -211,7 +218,7 @@
             return False
         if demand.waited > ANY_RACK_WAIT_FACTOR * demand.duration:
             return True
-        if demand.waited > MAX_IDLE_WAIT_SECONDS and self._is_half_empty():
+        if self._is_overdue(demand):
             return True
         if (demand.guaranteed and demand.waited > self._bounds.reclaim_wait):
             # A guarantee says when the tasks start, not how fast they are.
@@ -223,11 +230,10 @@
             )
         return not self._fits_racks[key]
 
-    def _is_half_empty(self) -> bool:
-        return task_placement.is_half_empty(
-            worker for worker in self._workers
-            if worker.access in task_placement.IN_USE
-        )
+    def _is_overdue(self, demand: task_demand.Demand) -> bool:
+        """Return whether no preference may delay the demand any longer."""
+        half_empty = self._service_use.is_half_empty(demand.service_id)
+        return idle_limit.seconds_left(demand, half_empty) <= 0
 
     def _backfill_workers(
         self,
@@ -297,10 +303,21 @@
             self._unplaced_gangs.setdefault(key, []).append(
                 (len(demand.indexes), _backfill_seconds(demand))
             )
+        return self._start_on(demand, placement)
+
+    def _start_on(
+        self,
+        demand: task_demand.Demand,
+        placement: task_placement.Placement,
+        *,
+        overdue: bool = False,
+    ) -> task_demand.Demand:
+        """Start tasks on their workers; return the demand with the others."""
         indexes = demand.indexes[:len(placement)]
         if not indexes:
             return demand
-        self.starts.append(Start(demand, indexes, tuple(placement)))
+        self.starts.append(Start(demand, indexes, tuple(placement), overdue))
+        self._service_use.record_start(demand, len(indexes))
         for worker_id in placement:
             worker = self._worker_by_id[worker_id]
             worker.free = worker.free.minus(demand.step.resources)
@@ -336,6 +353,7 @@
         if len(placement) < len(demand.indexes):
             return False
         self._reserve(placement, demand)
+        self._held_for_releases.append((demand, placement))
         self._record_wait(demand, wait_causes.WaitCause.RELEASE)
         # Also while the releases are always just ahead, no longer than this.
         self.waits[demand.key] = reservation_terms.Wait(
@@ -394,14 +412,57 @@
                 held_ids.append(worker_id)
             worker.reserved_from = min(worker.reserved_from, start_after)
         if held_ids:
-            failures = 0
-            if not self._is_half_empty():
-                failures = self._pauses.failures_by_key.get(demand.key, 0)
+            failures = self._pauses.failures_by_key.get(demand.key, 0)
             self.waits[demand.key] = reservation_terms.Wait(
                 reservation_terms.gang_due_in(start_after, failures),
                 frozenset(held_ids),
             )
 
+    def start_overdue(self) -> None:
+        """Start demands that no preference may delay any longer.
+
+        They may use room that is held for gangs, or for urgent work until
+        releases, but not that of victims, which is held for a moment only.
+        """
+        overdue = [
+            demand for demand in self._unplaced if self._is_overdue(demand)
+        ]
+        if not overdue:
+            return
+        for demand, placement in self._held_for_releases:
+            self._give_back(placement, demand)
+        started_ids = {start.demand.job_id for start in self.starts}
+        for demand in overdue:
+            if not demand.step.endless:
+                # One run is enough for a job not to be idle.
+                if demand.job_id in started_ids:
+                    continue
+                if not demand.step.gang:
+                    demand = dataclasses.replace(
+                        demand, indexes=demand.indexes[:1]
+                    )
+            # The starts before may have filled the service.
+            if not self._is_overdue(demand):
+                continue
+            placement = task_placement.place_beside_reservations(
+                demand, self._workers
+            )
+            if placement:
+                self._start_on(demand, placement, overdue=True)
+                started_ids.add(demand.job_id)
+                self.wait_causes.pop(demand.key, None)
+
+    def _give_back(
+        self,
+        placement: task_placement.Placement,
+        demand: task_demand.Demand,
+    ) -> None:
+        """Make resources available that ``_reserve`` has withheld."""
+        for worker_id in placement:
+            worker = self._worker_by_id.get(worker_id)
+            if worker is not None:
+                worker.free = worker.free.plus(demand.step.resources)
+
     def _reserve(
         self,
         placement: task_placement.Placement,
@@ -417,11 +478,11 @@
 def _backfill_seconds(demand: task_demand.Demand) -> float:
     """Return for how long its workers must not be reserved for others.
 
-    Infinite for tasks that never end; 0 once these must start anywhere.
+    Infinite for tasks that never end.
     """
-    if not demand.step.endless:
-        return demand.duration * BACKFILL_DURATION_FACTOR
-    return math.inf if demand.waited <= MAX_IDLE_WAIT_SECONDS else 0.0
+    if demand.step.endless:
+        return math.inf
+    return demand.duration * BACKFILL_DURATION_FACTOR
 
 
 def plan(
@@ -445,6 +506,7 @@
     state.apply_reservations(ordered)
     for demand in ordered:
         state.serve(demand)
+    state.start_overdue()
     return Plan(
         tuple(state.starts),
         tuple(state.stops),
--- a/src/nutmegworks/policy/worker_exclusion.py
+++ b/src/nutmegworks/policy/worker_exclusion.py
@@ -12,6 +12,7 @@
 import typing
 
 from nutmegworks.model import ids
+from nutmegworks.policy import idle_limit
 from nutmegworks.policy import task_demand
 from nutmegworks.policy import task_placement
 
@@ -28,38 +29,20 @@
 # At most this share of the workers that could run a step is excluded, apart
 # from the pause before a retry.
 MAX_EXCLUDED_SHARE: typing.Final = 0.5
-# Seconds for which a job may have nothing running while much of its service is
-# free. The platform allows 3 s, which include a round and the start.
-MAX_IDLE_SECONDS: typing.Final = 2.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Standing:
     """What limits the delay of a demand.
 
-    :param idle: seconds for which its job has had nothing running though it
-        could; None while something runs.
     :param half_empty: over half of its service's accelerators are free.
     :param last_attempt: the job fails with the next failure of a task.
     """
 
-    idle: float | None
     half_empty: bool
     last_attempt: bool = False
 
 
-def _idle_limit(demand: task_demand.Demand, standing: Standing) -> float:
-    """Return the seconds after which the platform counts a job as lost.
-
-    For tasks that last the rule holds for each one, however full its service.
-    """
-    if standing.idle is None:
-        return math.inf
-    if not demand.step.endless and not standing.half_empty:
-        return math.inf
-    return max(0.0, MAX_IDLE_SECONDS - standing.idle)
-
-
 def max_delay(demand: task_demand.Demand, standing: Standing) -> float:
     """Return how many seconds longer a demand may avoid workers.
 
@@ -67,7 +50,7 @@
     on other workers, and tasks that last, which have no target. A job that
     would fail for good is better late.
     """
-    limit = _idle_limit(demand, standing)
+    limit = idle_limit.seconds_left(demand, standing.half_empty)
     if demand.step.endless or demand.priority == 0:
         return limit
     objective = demand.objective
@@ -95,18 +78,9 @@
             in_use = worker.access in task_placement.IN_USE
             (self._open if in_use else self._suspended).append(worker)
         self._can_take_by_shape: dict[typing.Hashable, bool] = {}
-        self._half_empty_by_service: dict[ids.ServiceId, bool] = {}
-
-    def is_half_empty(self, service_id: ids.ServiceId) -> bool:
-        """Return whether over half of a service's accelerators are free."""
-        if service_id not in self._half_empty_by_service:
-            self._half_empty_by_service[service_id] = (
-                task_placement.is_half_empty(
-                    worker for worker in (*self._open, *self._suspended)
-                    if worker.service_id == service_id
-                )
-            )
-        return self._half_empty_by_service[service_id]
+        self.service_use = idle_limit.ServiceUse(
+            (*self._open, *self._suspended)
+        )
 
     def restrict(
         self,
@@ -156,7 +130,7 @@
             )
         if self._can_take_by_shape[shape]:
             return task_demand.Recourse.NONE
-        if _idle_limit(demand, standing) <= 0:
+        if idle_limit.seconds_left(demand, standing.half_empty) <= 0:
             return task_demand.Recourse.ANY
         return task_demand.Recourse.PROBE
 
--- a/tests/fleet/test_lasting_tasks.py
+++ b/tests/fleet/test_lasting_tasks.py
@@ -88,6 +88,38 @@
     helpers.run(main)
 
 
+def test_lesser_work_starts_beside_a_gang_that_waits_for_true_releases(
+) -> None:
+    """Guards against a job that counts as lost while a gang waits rightly.
+
+    Each worker runs a task of 40 s, and most of their room is free.
+    """
+
+    async def main() -> None:
+        store = memory.MemoryStore()
+        fleet = memory.MemoryWorkers()
+        for number in range(WORKERS):
+            builders.put_worker(store, f'w{number}')
+        async with builders.running_term(store, fleet) as term:
+            step = builders.step(WORKERS, antiAffinity=1, estimatedMs=40_000)
+            builders.put_job(store, 'a1', builders.accepted(step))
+            await builders.wait_until(lambda: _running(term, 'a1') == WORKERS)
+            gang = builders.step(WORKERS, gpu=8, gang=True, estimatedMs=6800)
+            builders.put_job(store, 'a2', builders.accepted(gang))
+            await builders.wait_until(
+                lambda: ids.JobId('a2') in term.state.jobs_by_id
+            )
+            await curio.sleep(0.1)
+            small = builders.step(estimatedMs=60_000)
+            builders.put_job(store, 'a3', builders.accepted(small, priority=2))
+            await builders.wait_until(
+                lambda: _running(term, 'a3'), seconds=3.0
+            )
+            assert _running(term, 'a2') == 0
+
+    helpers.run(main)
+
+
 def test_urgent_work_reclaims_from_tasks_that_last() -> None:
     """Guards against a wait for a release that never comes.
 
--- a/tests/fleet/test_probation.py
+++ b/tests/fleet/test_probation.py
@@ -7,7 +7,7 @@
 from nutmegworks.fleet import membership
 from nutmegworks.fleet import table
 from nutmegworks.model import ids
-from nutmegworks.policy import worker_exclusion
+from nutmegworks.policy import idle_limit
 from nutmegworks.policy import worker_health
 from tests.fleet import builders
 from tests.fleet import memory
@@ -63,7 +63,7 @@
             builders.put_job(store, 'c1', builders.accepted())
             await builders.wait_until(
                 lambda: _is_running(term, 'c1'),
-                seconds=worker_exclusion.MAX_IDLE_SECONDS / 2,
+                seconds=idle_limit.MAX_IDLE_SECONDS / 2,
             )
             # Its outcome is awaited before another run starts.
             builders.put_job(store, 'c2', builders.accepted())
--- a/tests/fleet_builders.py
+++ b/tests/fleet_builders.py
@@ -72,9 +72,13 @@
     sequence: int = 1,
     used_by_worker: typing.Mapping[str, int] | None = None,
     guaranteed: bool | None = None,
+    idle: float | None = None,
     **step_options: typing.Any,
 ) -> task_demand.Demand:
-    """Return a demand; urgent ones are guaranteed by default."""
+    """Return a demand; urgent ones are guaranteed by default.
+
+    Its job has had nothing running for as long as it has waited by default.
+    """
     demand_step = step(tasks=tasks, **step_options)
     return task_demand.Demand(
         job_id=ids.JobId(job_id),
@@ -92,6 +96,7 @@
             for worker_id, count in (used_by_worker or {}).items()
         },
         guaranteed=priority == 0 if guaranteed is None else guaranteed,
+        idle=waited if idle is None else idle,
     )
 
 
--- a/tests/policy/test_worker_exclusion.py
+++ b/tests/policy/test_worker_exclusion.py
@@ -158,24 +158,33 @@
     fleet_builders.worker('a'), access=task_placement.Access.LAST_RESORT
 )
 
+# Seconds for which nothing has run, None if something runs.
+Idle = typing.NamedTuple(
+    'Idle',
+    [('idle', float | None), ('standing', worker_exclusion.Standing)],
+)
+
 
 def _standing(
     idle: float | None,
     *,
     half_empty: bool = True,
     last_attempt: bool = False,
-) -> worker_exclusion.Standing:
-    return worker_exclusion.Standing(idle, half_empty, last_attempt)
+) -> Idle:
+    return Idle(idle, worker_exclusion.Standing(half_empty, last_attempt))
 
 
 def _restrict(
     workers: typing.Iterable[task_placement.WorkerCapacity],
-    standing: worker_exclusion.Standing,
+    state: Idle,
     failed: typing.Mapping[ids.WorkerId, float] | None = None,
     **options: typing.Any,
 ) -> task_demand.Demand:
+    demand = dataclasses.replace(
+        fleet_builders.demand(**options), idle=state.idle
+    )
     return worker_exclusion.Workers(workers).restrict(
-        fleet_builders.demand(**options), failed or {}, standing
+        demand, failed or {}, state.standing
     )
 
 
@@ -206,7 +215,7 @@
     ],
 )
 def test_busy_alternative_delays_no_longer_than_allowed(
-    standing: worker_exclusion.Standing,
+    standing: Idle,
     options: dict[str, typing.Any],
     excluded: set[ids.WorkerId],
 ) -> None:
@@ -267,7 +276,7 @@
 )
 def test_suspended_worker_is_used_where_no_other_can_take_the_work(
     others: list[task_placement.WorkerCapacity],
-    standing: worker_exclusion.Standing,
+    standing: Idle,
     options: dict[str, typing.Any],
     recourse: task_demand.Recourse,
 ) -> None:
