policy: a full service does not hide free room of another one

What callers would see: work of one service waits beside free workers while work of another service, whose workers are full, waits before it.

Cause: a round remembers which resources no worker can provide any more, to spare later searches. It did not remember of which service.

Evidence: tests/policy/test_idle_limit.py:: test_work_without_room_does_not_hide_that_of_another_service failed before: no start beside an empty worker.

Change: what is exhausted is remembered by service.

--- a/src/nutmegworks/policy/task_planning.py
+++ b/src/nutmegworks/policy/task_planning.py
@@ -133,9 +133,12 @@
         self.starts: list[Start] = []
         self.stops: list[tuple[task_preemption.RunningTask, ids.JobId]] = []
         self.backfill_reservations = 0
-        # Resources that no worker can provide any more, with the shortest
-        # time without a reservation for which this was found.
-        self._exhausted: list[tuple[spec.Resources, float]] = []
+        # Resources that no worker of a service can provide any more, with the
+        # shortest time without a reservation for which this was found.
+        self._exhausted: dict[
+            ids.ServiceId,
+            list[tuple[spec.Resources, float]],
+        ] = {}
         # Gangs that could not be placed in this round: number of tasks and
         # time without a reservation by shape.
         self._unplaced_gangs: dict[
@@ -253,8 +256,8 @@
             return False
         return any(
             demand.step.resources.can_fit(resources)
-            and _backfill_seconds(demand) >= duration
-            for resources, duration in self._exhausted
+            and _backfill_seconds(demand) >= duration for resources, duration
+            in self._exhausted.get(demand.service_id, ())
         )
 
     def _is_unplaced_gang(
@@ -281,7 +284,9 @@
             or demand.recourse is not task_demand.Recourse.NONE
         )
         if demand.indexes and not constrained:
-            self._exhausted.append((step.resources, _backfill_seconds(demand)))
+            self._exhausted.setdefault(demand.service_id, []).append(
+                (step.resources, _backfill_seconds(demand))
+            )
 
     def _start(self, demand: task_demand.Demand) -> task_demand.Demand:
         """Start the tasks that fit; return the demand with the others."""
--- a/tests/policy/test_idle_limit.py
+++ b/tests/policy/test_idle_limit.py
@@ -164,3 +164,17 @@
     ]
     demands = [_gang(3), _small(waited=LIMIT)]
     assert _starts(demands, [*full, *_workers(40.0, 40.0, 40.0)])
+
+
+def test_work_without_room_does_not_hide_that_of_another_service() -> None:
+    """Guards against a search that is cut short by another service's."""
+    elsewhere = dataclasses.replace(
+        builders.demand('elsewhere', sequence=0),
+        service_id=ids.ServiceId('elsewhere'),
+    )
+    full = dataclasses.replace(
+        builders.worker('x1', free=spec.Resources()),
+        service_id=ids.ServiceId('elsewhere'),
+    )
+    starts = _starts([elsewhere, _small()], [full, builders.worker('w1')])
+    assert starts == [('small', ('w1', ))]
