fleet: each task that lasts has a time of its own

What callers saw: of three tasks that last, whose only worker with their label fails everything for 6.5 s, two have not run for 3.2 s though there is room for each (LOST holds for each task that lasts).

Cause: the time without a run was kept by job. Each failure of one task began the time of the others anew; and a worker that gets one of the tasks a round got the first ones again and again.

--- a/src/nutmegworks/fleet/scheduler.py
+++ b/src/nutmegworks/fleet/scheduler.py
@@ -247,29 +247,34 @@
                        for other in step.depends_on):
                 continue
             used: dict[ids.WorkerId, int] = {}
-            indexes = []
+            tasks = []
             for index in range(step.count):
                 if index in done:
                     continue
-                run = job.runs_by_task.get(
-                    spec.TaskKey(job.job_id, occurrence, step.number, index)
-                )
+                task = spec.TaskKey(job.job_id, occurrence, step.number, index)
+                run = job.runs_by_task.get(task)
                 if run is None:
-                    indexes.append(index)
+                    tasks.append(task)
                 else:
                     used[run.worker_id] = used.get(run.worker_id, 0) + 1
-            if not indexes or (step.gang and used):
+            if not tasks or (step.gang and used):
                 continue
             waited = now - job.arrived_at
             if submission.has_start_time:
                 waited = max(
                     0.0, unix_now - submission.earliest_start(occurrence)
                 )
+            if step.endless:
+                # The platform has a time limit for each of them.
+                tasks.sort(
+                    key=functools.partial(job.not_run_since, step, now=now)
+                )
+            idle = job.idle_seconds(step, tasks[0], now)
             yield task_demand.Demand(
                 job_id=job.job_id,
                 occurrence=occurrence,
                 step=step,
-                indexes=tuple(indexes),
+                indexes=tuple(task.index for task in tasks),
                 priority=job.accepted.priority,
                 waited=waited,
                 remaining=job.remaining_chain_seconds(occurrence, expected),
@@ -283,7 +288,7 @@
                     job.accepted.priority == 0
                     and job.accepted.team in guaranteed_teams
                 ),
-                idle=_idle_seconds(job, step, waited, now),
+                idle=None if idle is None else min(waited, idle),
             )
 
     def _teams_within_guarantee(self) -> typing.Collection[ids.TeamId]:
@@ -325,23 +330,6 @@
                     self._state.stop_gang(run, 'worker of a member is leaving')
 
 
-def _idle_seconds(
-    job: table.Job,
-    step: spec.Step,
-    waited: float,
-    now: float,
-) -> float | None:
-    """Return for how long a job has had nothing running, None if it has.
-
-    A task that lasts must run whatever else of its job does.
-
-    :param waited: see ``task_demand.Demand``.
-    """
-    if job.runs_by_task and not step.endless:
-        return None
-    return min(waited, now - job.idle_since)
-
-
 def _running_task(run: table.Run, now: float) -> task_preemption.RunningTask:
     task = run.task
     group: tuple[str, ...] = (task.name, )
--- a/src/nutmegworks/fleet/state.py
+++ b/src/nutmegworks/fleet/state.py
@@ -94,7 +94,7 @@
         if job.runs_by_task.get(run.task) is run:
             del job.runs_by_task[run.task]
         if run.started:
-            job.idle_since = membership.steady_clock()
+            job.record_idle(run, membership.steady_clock())
         name = table.task_name(run.task)
         assigned = job.progress.assigned.get(name)
         if assigned is not None and assigned.run == run.number:
--- a/src/nutmegworks/fleet/table.py
+++ b/src/nutmegworks/fleet/table.py
@@ -170,6 +170,8 @@
         # When a run of the job last ended, in seconds of
         # membership.steady_clock; its arrival before that.
         self.idle_since = waits_since
+        # The same for tasks that last, each of which must run.
+        self.idle_since_by_task: dict[spec.TaskKey, float] = {}
         # When a run of the job last failed on a worker, in seconds of
         # membership.steady_clock; others are preferred for a time.
         self.failed_at_by_worker: dict[ids.WorkerId, float] = {}
@@ -225,6 +227,41 @@
             return step_key(task.occurrence, task.step)
         return task_name(task)
 
+    def record_idle(self, run: Run, now: float) -> None:
+        """Record that a run that had started has ended."""
+        self.idle_since = now
+        if run.step.endless:
+            self.idle_since_by_task[run.task] = now
+
+    def not_run_since(
+        self,
+        step: spec.Step,
+        task: spec.TaskKey,
+        now: float,
+    ) -> float:
+        """Return since when a task that lasts has not run though it could.
+
+        :return: seconds of ``membership.steady_clock``.
+        """
+        due_since = now if step.depends_on else self.arrived_at
+        return self.idle_since_by_task.setdefault(task, due_since)
+
+    def idle_seconds(
+        self,
+        step: spec.Step,
+        task: spec.TaskKey,
+        now: float,
+    ) -> float | None:
+        """Return for how long nothing of the job has run, None if it does.
+
+        A task that lasts must run whatever else does: for how long it has not.
+
+        :param task: a task of the step that does not run and could.
+        """
+        if step.endless:
+            return now - self.not_run_since(step, task, now)
+        return None if self.runs_by_task else now - self.idle_since
+
     def is_last_attempt(self, task: spec.TaskKey) -> bool:
         """Return whether the job fails if the task fails once more."""
         step = self.submission.steps[task.step]
--- a/src/nutmegworks/policy/task_demand.py
+++ b/src/nutmegworks/policy/task_demand.py
@@ -57,8 +57,8 @@
     :param priority: class of the work; 0, the highest, is urgent.
     :param waited: seconds since the job was accepted or due.
     :param idle: seconds for which the job has had nothing running though the
-        tasks could, None while it has. For tasks that last it does not matter
-        what else of the job runs.
+        tasks could, None while it has. For tasks that last it is the longest
+        time for which one of them has not run, whatever else of the job does.
     :param remaining: seconds of the longest chain of unfinished steps.
     :param objective: seconds from acceptance within which the job has its
         full value.
