fleet: a change of leader does not begin the time of idle jobs anew

What callers saw: a job with nothing running waits beside room for 3.2 s and more when the leader changes meanwhile, and for ever while leaders change every two seconds.

Cause: a new leader counted the time without a run from the start of its term for each job that had a record of progress.

Change: until a run of the job ends in its term, a leader counts from the job's acceptance.

--- a/src/nutmegworks/fleet/table.py
+++ b/src/nutmegworks/fleet/table.py
@@ -169,7 +169,7 @@
         self.runs_by_task: dict[spec.TaskKey, Run] = {}
         # When a run of the job last ended, in seconds of
         # membership.steady_clock; its arrival before that.
-        self.idle_since = waits_since
+        self.idle_since = arrived_at
         # The same for tasks that last, each of which must run.
         self.idle_since_by_task: dict[spec.TaskKey, float] = {}
         # When a run of the job last failed on a worker, in seconds of
--- a/tests/fleet/test_idle_times.py
+++ b/tests/fleet/test_idle_times.py
@@ -60,6 +60,13 @@
     assert job.idle_seconds(step, _task(1), NOW) == 10.0
 
 
+def test_new_leader_counts_the_time_before_its_term() -> None:
+    """Guards against a limit that begins anew with each change of leader."""
+    job = _job(waits_since=NOW)
+    step = job.submission.steps[0]
+    assert job.idle_seconds(step, _task(0), NOW) == 10.0
+
+
 def test_job_of_which_something_runs_is_not_idle() -> None:
     """Guards against work that takes held room although it is not lost."""
     job = _job(count=2)
