policy: overdue work without room is searched for once a shape

What would be seen: rounds that take seconds at 27,000 workers, when many jobs wait whose room is full while half of their service is free.

Cause: that pass looked at all workers for each overdue demand.

Change: a shape and number of tasks that found no room is not searched for again in the round, as workers only get fuller. test_cost_of_overdue_work_without_room counts the searches: 50 for 50 jobs of one shape before, 1 now.

--- a/src/nutmegworks/policy/task_planning.py
+++ b/src/nutmegworks/policy/task_planning.py
@@ -437,6 +437,8 @@
         for demand, placement in self._held_for_releases:
             self._give_back(placement, demand)
         started_ids = {start.demand.job_id for start in self.starts}
+        # Shapes and numbers of tasks without room; workers only get fuller.
+        without_room: set[tuple[task_placement.ShapeKey, int]] = set()
         for demand in overdue:
             if not demand.step.endless:
                 # One run is enough for a job not to be idle.
@@ -449,6 +451,9 @@
             # The starts before may have filled the service.
             if not self._is_overdue(demand):
                 continue
+            shape = task_placement.shape_key(demand, any_rack=True)
+            if (shape, len(demand.indexes)) in without_room:
+                continue
             placement = task_placement.place_beside_reservations(
                 demand, self._workers
             )
@@ -456,6 +461,8 @@
                 self._start_on(demand, placement, overdue=True)
                 started_ids.add(demand.job_id)
                 self.wait_causes.pop(demand.key, None)
+            else:
+                without_room.add((shape, len(demand.indexes)))
 
     def _give_back(
         self,
--- a/tests/policy/test_idle_limit.py
+++ b/tests/policy/test_idle_limit.py
@@ -178,3 +178,27 @@
     )
     starts = _starts([elsewhere, _small()], [full, builders.worker('w1')])
     assert starts == [('small', ('w1', ))]
+
+
+def test_cost_of_overdue_work_without_room(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a search of all workers for each of many waiting jobs."""
+    searches = []
+    place = task_placement.place_beside_reservations
+
+    def count(
+        demand: task_demand.Demand,
+        workers: typing.Sequence[task_placement.WorkerCapacity],
+    ) -> task_placement.Placement:
+        searches.append(demand.key)
+        return place(demand, workers)
+
+    monkeypatch.setattr(task_placement, 'place_beside_reservations', count)
+    demands = [
+        dataclasses.replace(
+            _small(waited=9.0, accelerators=8), job_id=ids.JobId(f'a{number}')
+        ) for number in range(50)
+    ]
+    assert not _starts(demands, _workers(40.0, 40.0, 40.0))
+    assert len(searches) == 1
