--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -108,6 +108,23 @@
     fault_interval_seconds: float = 1.2
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobPlan:
+    """A job that a client submits and follows to its end.
+
+    :param cancels: whether the client cancels it soon after.
+    :param always_fails: all of its runs fail through their own fault.
+    :param patient: whether the client persists until the job is accepted.
+    """
+
+    job_id: ids.JobId
+    body: bytes
+    priority: int
+    cancels: bool = False
+    always_fails: bool = False
+    patient: bool = True
+
+
 class Daemon:
     """One daemon process and its relay to the store."""
 
@@ -384,22 +401,35 @@
         payload = f'{rng.getrandbits(64):016x}'
         return msgspec.json.encode({'spec': payload, 'steps': steps})
 
-    async def _follow_job(self) -> None:
+    def _plan_job(self) -> JobPlan:
         rng = self._rng
         job_id = ids.JobId(f'{rng.getrandbits(64):016x}')
         body = self._make_job()
-        target = f'{PREFIX}{rng.choice((0, 1, 1))}/{job_id}'
-        will_cancel = rng.random() < 0.15
+        priority = rng.choice((0, 1, 1))
+        cancels = rng.random() < 0.15
+        lasts = b'longRunning' in body
+        always_fails = not lasts and rng.random() < FAILING_SHARE
+        patient = lasts or rng.random() < 0.5
+        return JobPlan(job_id, body, priority, cancels, always_fails, patient)
+
+    async def _follow_job(self) -> None:
+        await self._follow(self._plan_job())
+
+    async def _follow(self, job_plan: JobPlan) -> None:
+        """Submit a job and ask for it until it has ended."""
+        rng = self._rng
+        job_id, body = job_plan.job_id, job_plan.body
+        target = f'{PREFIX}{job_plan.priority}/{job_id}'
         lasts = b'longRunning' in body
         view = self.checker.record_submission(
             job_id,
             body,
             attempts=ATTEMPTS,
-            always_fails=not lasts and rng.random() < FAILING_SHARE,
+            always_fails=job_plan.always_fails,
+        )
+        until = time.monotonic() + (
+            SUBMIT_TIMEOUT_SECONDS if job_plan.patient else IMPATIENT_SECONDS
         )
-        patient = lasts or rng.random() < 0.5
-        until = time.monotonic(
-        ) + (SUBMIT_TIMEOUT_SECONDS if patient else IMPATIENT_SECONDS)
         while time.monotonic() < until and not view.accepted:
             daemon = rng.choice(self._daemons)
             answer = await self._call(daemon, 'POST', target, body)
@@ -410,7 +440,7 @@
             else:
                 await curio.sleep(POLL_INTERVAL_SECONDS)
         cancelled = False
-        if will_cancel and view.accepted:
+        if job_plan.cancels and view.accepted:
             await curio.sleep(rng.uniform(0, 1.5))
             cancelled = await self._cancel(view, target)
         if lasts and view.accepted and not cancelled:
@@ -500,13 +530,17 @@
         """Return the leader with probability LEADER_SHARE, else any daemon."""
         chosen = self._rng.choice(self._daemons)
         if self._rng.random() < LEADER_SHARE:
-            item = self._store.store.item_by_key.get(records.LEADER_KEY)
-            if item is not None:
-                leader = msgspec.json.decode(item.value, type=records.Leader)
-                by_name = {daemon.name: daemon for daemon in self._daemons}
-                return by_name[leader.member]
+            return self._leader() or chosen
         return chosen
 
+    def _leader(self) -> Daemon | None:
+        item = self._store.store.item_by_key.get(records.LEADER_KEY)
+        if item is None:
+            return None
+        leader = msgspec.json.decode(item.value, type=records.Leader)
+        by_name = {daemon.name: daemon for daemon in self._daemons}
+        return by_name[leader.member]
+
     async def _kill(self) -> None:
         self._choose_daemon().send_signal(signal.SIGKILL)
 
@@ -646,4 +680,7 @@
 if __name__ == '__main__':
     typer.run(main)
 
-__all__ = ('PORT_RANGE', 'Plan', 'Soak', 'free_port', 'main', 'run_soak')
+__all__ = (
+    'ATTEMPTS', 'JobPlan', 'PORT_RANGE', 'Plan', 'Soak', 'free_port', 'main',
+    'run_soak'
+)
