soak: the small jobs of the play are of a class below its gangs

A gang that is late comes after on-time work of its own class, so that the play did not keep room from anyone.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -63,6 +63,8 @@
 LEADER_SHARE: typing.Final = 0.6
 WORKER_RESOURCES: typing.Final = spec.Resources(8000, 8000, 4)
 ATTEMPTS: typing.Final = 4
+# Classes of work; jobs that are drawn use the first two.
+PRIORITIES: typing.Final = (0, 1, 2)
 # Of the workers, every fourth has the label that some steps require.
 KINDS: typing.Final = ('a', 'a', 'a', 'b')
 # Share of the jobs that require the label, that last and that always fail.
@@ -302,7 +304,7 @@
                     'maxAttempts': ATTEMPTS,
                     'stretch': 3.0,
                     'targetLatencyMs': 1000,
-                } for priority in (0, 1)
+                } for priority in PRIORITIES
             ],
             'services': [{
                 'name': checkers.SERVICE
--- a/tests/soak/whole.py
+++ b/tests/soak/whole.py
@@ -66,6 +66,7 @@
         (2.0, WIDE_GANG, wide_gang, 1, False),
         (2.5, LABELLED_JOB, labelled, 1, False),
     ]
+    # A class below the gangs, which would come later in their own.
     plans += [
         (
             3.0 + number,
@@ -74,7 +75,7 @@
                 estimatedMs=40_000 if number % 2 else 1000,
                 requirements='a',
             ),
-            1,
+            2,
             False,
         ) for number in range(SMALL_JOBS)
     ]
