--- a/src/nutmegworks/policy/idle_limit.py
+++ b/src/nutmegworks/policy/idle_limit.py
@@ -4,7 +4,7 @@
 unused that a demand fits in: workers on which tasks failed, racks where the
 tasks are slow, room that is held for gangs and urgent work. Each is a
 preference, and all of them end here. The platform counts a job as lost if it
-has nothing running for 3 s while at least half of its service is free and
+has nothing running for 3 s while over half of its service is free and
 there is room for it; for a task that lasts, however full the service is.
 """
 from __future__ import annotations
