--- a/tests/fleet/test_lost_rule.py
+++ b/tests/fleet/test_lost_rule.py
@@ -173,12 +173,16 @@
 def _few_hosts(
     count: int,
     *,
+    faulty_from: float = 0.0,
     faulty_until: float = 0.0,
 ) -> tuple[simulation.HostSpec, ...]:
     """Return workers of which the first has the label and may be faulty."""
     return (
         simulation.HostSpec(
-            'w0', labels=frozenset({LABEL}), faulty_until=faulty_until
+            'w0',
+            labels=frozenset({LABEL}),
+            faulty_from=faulty_from,
+            faulty_until=faulty_until,
         ),
         *(simulation.HostSpec(f'w{number}') for number in range(1, count)),
     )
@@ -213,11 +217,7 @@
     ),
     'a worker with a task that lasts on probation for good':
     Case(
-        tuple(
-            simulation.HostSpec(
-                f'w{number}', faulty_from=1.0, faulty_until=7.5 - 7 * number
-            ) for number in range(1)
-        ) + tuple(simulation.HostSpec(f'w{n}') for n in range(1, 4)),
+        _few_hosts(4, faulty_from=1.0, faulty_until=7.5),
         (
             _job('a0', 0.0, 2.0, count=4, antiAffinity=1, longRunning=True),
             *(
