soak: the soak's own end of its daemons is no exit of theirs

Cause: at its end the soak kills its daemons, while the tasks that restart them still run. Beside load one of these may run once more and record the end as the daemon's, and start it again.

Change: these tasks stop before the kill. Ends during the run are recorded as before.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -194,7 +194,7 @@
 
     async def keep_running(self) -> None:
         """Restart the process whenever it ends, as the platform does."""
-        while True:
+        while not self.stopping:
             if self.reap():
                 await curio.sleep(0.3)
                 self.start()
@@ -268,6 +268,8 @@
             self.checker.finish()
         finally:
             for daemon in self._daemons:
+                # The end that follows is the soak's own.
+                daemon.stopping = True
                 daemon.send_signal(signal.SIGCONT)
                 daemon.send_signal(signal.SIGKILL)
         return self.checker.violations
