--- a/review/9/play.py
+++ b/review/9/play.py
@@ -14,6 +14,8 @@
 AGE_SECONDS: typing.Final = 6.0
 ASK_SECONDS: typing.Final = 5.0
 ASK_INTERVAL_SECONDS: typing.Final = 0.2
+# A process that was killed starts again after a short delay.
+RESTART_SECONDS: typing.Final = 0.5
 START_TIMEOUT_SECONDS: typing.Final = 10.0
 
 
@@ -54,6 +56,9 @@
     if deployment.trouble:
         deployment.note('leader is killed', leader.name)
         leader.kill()
+        asyncio.get_running_loop().call_later(
+            RESTART_SECONDS, leader.start, deployment.directory
+        )
     others = [d for d in deployment.daemons if d is not leader]
     broken = []
     for _ in range(int(ASK_SECONDS / ASK_INTERVAL_SECONDS)):
