ingress, fleet: a count of pending jobs is at most 2 s old

After the leader was killed, the other hosts answered `pending` 0 for 0.8 s while 12 accepted jobs waited. In a quiet queue the value could be minutes old.

Cause: a host kept the last count that a leader gave it and answered with it whenever the leader gave none, without knowing its age.

The new leader's first answer was right.

Change: a leader's answer says how old its view of the jobs may be (last answered read of the jobs, last renewal of its lease). A host dates the count from when it asked, on the clock that runs during suspension, shows it for the 2 s that PROTOCOL.md allows, and refuses after that with 503 and Retry-After. That covers a leader that is killed, silent, without a term, leaving, cut off from the store (for its own clients too), suspended, or still loading. The leader's watch of the jobs returns after 0.7 s in place of 1 s, so that a leader with nothing to read is never out of date.

--- a/src/nutmegworks/fleet/leader.py
+++ b/src/nutmegworks/fleet/leader.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import functools
+import math
 import time
 import typing
 
@@ -32,6 +33,9 @@
 
 # Pauses between watches; on average a new job waits for half of the pause.
 JOBS_PAUSE_SECONDS: typing.Final = 0.05
+# Two watches without changes, each answered late by a slow store, take less
+# than the 2 s that a count of pending jobs may be old.
+JOBS_WATCH_SECONDS: typing.Final = 0.7
 WORKERS_PAUSE_SECONDS: typing.Final = 0.3
 RETRY_SECONDS: typing.Final = 0.2
 # The end of a run is acknowledged after it is stored. If that takes longer
@@ -76,6 +80,7 @@
         self._retention_seconds = retention_seconds
         self._leadership_lost = curio.Event()
         self._sessions: dict[ids.WorkerId, curio.Task] = {}
+        self._jobs_watcher: prefix_watcher.PrefixWatcher | None = None
         self.state = fleet_state.FleetState(metrics)
         self.loaded = False
         # Jobs with a progress record that were not read; their own records
@@ -118,6 +123,16 @@
             )
         return self.state.public_state(job_id)
 
+    def view_age(self) -> float:
+        """Return how many seconds old this term's view of the jobs may be.
+
+        Every job that was accepted before is known, and no other leader had
+        begun one by then. Infinite until the stored jobs have been read.
+        """
+        if self._jobs_watcher is None:
+            return math.inf
+        return max(self._jobs_watcher.age(), self._member.renewal_age())
+
     async def run(self) -> None:
         """Run the controllers until leadership is lost or until cancelled."""
         started_at = membership.steady_clock()
@@ -158,6 +173,8 @@
             records.JOBS_PREFIX,
             sinks.JobSink(self.state, self._decoder, progress_by_id),
             pause=JOBS_PAUSE_SECONDS,
+            wait=JOBS_WATCH_SECONDS,
+            clock=membership.steady_clock,
         )
         entries = prefix_watcher.PrefixWatcher(
             self._store,
@@ -173,6 +190,7 @@
         while not await self._journal.load():
             await curio.sleep(RETRY_SECONDS)
         self._orphan_ids = progress_ids - self.state.jobs_by_id.keys()
+        self._jobs_watcher = jobs
         self.loaded = True
         _LOG.info(
             'leader loaded stored state',
--- a/src/nutmegworks/fleet/leader_client.py
+++ b/src/nutmegworks/fleet/leader_client.py
@@ -2,7 +2,7 @@
 from __future__ import annotations
 
 import abc
-import time
+import dataclasses
 import typing
 import urllib.parse
 
@@ -41,9 +41,26 @@
 
 
 class PendingAnswer(msgspec.Struct):
-    """The response to a query for the pending jobs of a queue."""
+    """The response to a query for the pending jobs of a queue.
+
+    :param age: seconds before the response at which the number was certainly
+        right; jobs accepted since may be missing.
+    """
 
     pending: documents.Count
+    age: documents.Seconds
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PendingCount:
+    """The number of a queue's jobs of which no task has started.
+
+    :param as_of: seconds of ``membership.steady_clock``; jobs accepted later
+        may be missing.
+    """
+
+    pending: int
+    as_of: float
 
 
 class NoLeaderError(msgspec.Struct):
@@ -66,7 +83,7 @@
     async def pending(
         self,
         queue: str,
-    ) -> result.Result[int, NoLeaderError]:
+    ) -> result.Result[PendingCount, NoLeaderError]:
         """Return how many jobs of a queue have not started."""
 
 
@@ -96,8 +113,8 @@
         queue = parameters.get('queue')
         if queue is None:
             return message.Response(400)
-        pending = term.state.pending(queue)
-        return message.json_response(200, PendingAnswer(pending))
+        answer = PendingAnswer(term.state.pending(queue), term.view_age())
+        return message.json_response(200, answer)
     return message.Response(404)
 
 
@@ -110,7 +127,7 @@
         candidate: leaders.Candidate,
         connections: pool.Pool,
         *,
-        clock: typing.Callable[[], float] = time.monotonic,
+        clock: typing.Callable[[], float] = membership.steady_clock,
     ) -> None:
         self._member = member
         self._candidate = candidate
@@ -132,14 +149,16 @@
     async def pending(
         self,
         queue: str,
-    ) -> result.Result[int, NoLeaderError]:
+    ) -> result.Result[PendingCount, NoLeaderError]:
+        asked_at = self._clock()
         term = self._own_term()
         if term is not None:
-            return result.Ok(term.state.pending(queue))
-        answer = await self._query(
+            answer = PendingAnswer(term.state.pending(queue), term.view_age())
+            return result.Ok(_counted(answer, asked_at))
+        queried = await self._query(
             PENDING_PATH, {'queue': queue}, PendingAnswer
         )
-        return answer.map(lambda response: response.pending)
+        return queried.map(lambda answer: _counted(answer, asked_at))
 
     def _own_term(self) -> leaders.Term | None:
         return serving_term(self._candidate) if self._member.leads else None
@@ -174,12 +193,21 @@
             return result.Err(NoLeaderError(f'unreadable answer: {error}'))
 
 
+def _counted(answer: PendingAnswer, asked_at: float) -> PendingCount:
+    """Return the count of an answer to a question asked at a time.
+
+    The answer was made later, but nobody else can say when.
+    """
+    return PendingCount(answer.pending, asked_at - answer.age)
+
+
 __all__ = (
     'HttpLeaderClient',
     'LeaderClient',
     'NoLeaderError',
     'PENDING_PATH',
     'PendingAnswer',
+    'PendingCount',
     'STATE_PATH',
     'StateAnswer',
     'serve',
--- a/src/nutmegworks/fleet/prefix_watcher.py
+++ b/src/nutmegworks/fleet/prefix_watcher.py
@@ -41,6 +41,8 @@
     :param pause: seconds between two watches, to limit the rate of calls.
     :param relist: seconds after which the prefix is listed again.
     :param wait: seconds after which a watch without changes returns.
+    :param clock: seconds; one that runs during suspension shows how old the
+        sink is afterwards.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         pause: float,
         relist: float = RELIST_INTERVAL_SECONDS,
         wait: float = WATCH_TIMEOUT_SECONDS,
+        clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
         self._store = store
         self._prefix = prefix
@@ -59,9 +62,10 @@
         self._pause = pause
         self._relist = relist
         self._wait = wait
+        self._clock = clock
         self._revision: ids.StoreRevision | None = None
         self._listed_at = 0.0
-        self._read_at = time.monotonic()
+        self._read_at = clock()
 
     def age(self) -> float:
         """Return the seconds since the last answered read was sent.
@@ -69,11 +73,11 @@
         The sink has every change that is older, unless the store compacted
         its history meanwhile.
         """
-        return time.monotonic() - self._read_at
+        return self._clock() - self._read_at
 
     async def load(self) -> bool:
         """List the prefix once; return whether the store answered."""
-        sent_at = time.monotonic()
+        sent_at = self._clock()
         listed = await self._store.list(self._prefix)
         if listed.is_err():
             _LOG.info(
@@ -83,7 +87,7 @@
                 age=round(self.age(), 3),
             )
             return False
-        self._listed_at = time.monotonic()
+        self._listed_at = self._clock()
         self._read_at = sent_at
         self._revision = listed.ok_value.revision
         await self._sink.replace(listed.ok_value.items)
@@ -98,11 +102,11 @@
 
     async def _step(self) -> bool:
         """Watch once; return False if the prefix has to be listed again."""
-        age = time.monotonic() - self._listed_at
+        age = self._clock() - self._listed_at
         if self._revision is None or age > self._relist:
             if not await self.load():
                 return False
-        sent_at = time.monotonic()
+        sent_at = self._clock()
         try:
             watched = await self._store.watch(
                 self._prefix, self._revision, min(self._wait, self._relist)
--- a/src/nutmegworks/ingress/jobs.py
+++ b/src/nutmegworks/ingress/jobs.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import collections
+import math
 import random
 import time
 import typing
@@ -12,6 +13,7 @@
 
 from nutmegworks.fleet import interfaces
 from nutmegworks.fleet import leader_client as leader_clients
+from nutmegworks.fleet import membership
 from nutmegworks.ingress import call as calls
 from nutmegworks.model import ids
 from nutmegworks.net import message
@@ -38,6 +40,8 @@
 # Limit of the cache of job states, which answers clients that query again
 # after the end of their job, also while the store is down.
 MAX_CACHED_STATES: typing.Final = 2000
+# The platform's limit of the age of a count of pending jobs.
+MAX_COUNT_AGE_SECONDS: typing.Final = 2.0
 
 _State = result.Result[records.JobState | None, interfaces.StoreError]
 
@@ -50,6 +54,8 @@
         store: interfaces.Store,
         decoder: interfaces.Decoder,
         leader_client: leader_clients.LeaderClient,
+        *,
+        clock: typing.Callable[[], float] = membership.steady_clock,
     ) -> None:
         self._store = store
         self._decoder = decoder
@@ -58,7 +64,8 @@
             ids.JobId,
             records.JobState,
         ] = collections.OrderedDict()
-        self._pending_by_queue: dict[str, int] = {}
+        self._clock = clock
+        self._count_by_queue: dict[str, leader_clients.PendingCount] = {}
         self._handlers = {
             'POST': self._submit,
             'GET': self._show,
@@ -200,22 +207,37 @@
         return calls.refuse(504, 'the cancel may have been stored')
 
     async def _count_pending(self, call: calls.Call) -> message.Response:
+        """Answer with the newest count, or refuse if that is out of date.
+
+        While leaders change, the count of the former one is shown for as long
+        as the platform allows; only a leader knows what has started.
+        """
         assert call.queue is not None
         queue = call.queue.queue_id
         answer = await self._leader_client.pending(queue)
         if answer.is_ok():
-            self._pending_by_queue[queue] = answer.ok_value
-        else:
-            _LOG.info(
-                'leader did not report the number of pending jobs',
-                queue=queue,
-                detail=answer.err_value.detail,
-                last=self._pending_by_queue.get(queue),
-            )
-        if queue not in self._pending_by_queue:
-            return calls.refuse(503, 'the count is not known')
-        pending = self._pending_by_queue[queue]
-        return message.json_response(200, {'pending': pending})
+            self._keep_count(queue, answer.ok_value)
+        count = self._count_by_queue.get(queue)
+        age = math.inf if count is None else self._clock() - count.as_of
+        if count is not None and age <= MAX_COUNT_AGE_SECONDS:
+            return message.json_response(200, {'pending': count.pending})
+        _LOG.info(
+            'number of pending jobs is not known',
+            queue=queue,
+            detail=answer.err_value.detail if answer.is_err() else '',
+            age=None if count is None else round(age, 3),
+        )
+        return calls.refuse(503, 'the count is not known')
+
+    def _keep_count(
+        self,
+        queue: str,
+        count: leader_clients.PendingCount,
+    ) -> None:
+        """Keep a count unless a newer one was received before it."""
+        kept = self._count_by_queue.get(queue)
+        if kept is None or kept.as_of <= count.as_of:
+            self._count_by_queue[queue] = count
 
 
 def _attempt_interval() -> float:
--- a/src/nutmegworks/model/documents.py
+++ b/src/nutmegworks/model/documents.py
@@ -27,6 +27,10 @@
     int,
     msgspec.Meta(ge=0, le=MAX_EXACT_INTEGER),
 ]
+Seconds = typing.Annotated[
+    float,
+    msgspec.Meta(ge=0),
+]
 UnixMilliseconds = typing.Annotated[
     int,
     msgspec.Meta(ge=0, le=MAX_UNIX_MS),
@@ -93,6 +97,7 @@
     'MAX_PORT',
     'MAX_UNIX_MS',
     'Port',
+    'Seconds',
     'UnixMilliseconds',
     'check_ip',
     'decode',
--- a/tests/fleet/builders.py
+++ b/tests/fleet/builders.py
@@ -165,12 +165,13 @@
     cores: float = 1.0,
     peers: membership.MemberSink | None = None,
     clock: typing.Callable[[], float] = membership.steady_clock,
+    address: client.Address = ('10.0.0.9', 7000),
 ) -> membership.Membership:
     member_id = ids.MemberId(name)
     return membership.Membership(
         store,
         member_id,
-        records.Member('10.0.0.9', 7000, 'north', cores),
+        records.Member(*address, 'north', cores),
         peers or membership.MemberSink(member_id),
         min_lease=1.0,
         clock=clock,
--- a/tests/ingress/builders.py
+++ b/tests/ingress/builders.py
@@ -10,6 +10,7 @@
 from nutmegworks.fleet import configuration_holder
 from nutmegworks.fleet import interfaces
 from nutmegworks.fleet import leader_client
+from nutmegworks.fleet import membership
 from nutmegworks.ingress import call as calls
 from nutmegworks.ingress import filters
 from nutmegworks.ingress import jobs
@@ -29,11 +30,15 @@
 
 
 class Leader(leader_client.LeaderClient):
-    """Returns the states that a test sets; None stands for no leader."""
+    """Returns the states that a test sets; None stands for no leader.
+
+    :ivar view_age: seconds by which the leader's counts are out of date.
+    """
 
     def __init__(self) -> None:
         self.states: dict[ids.JobId, records.JobState] | None = {}
         self.count = 0
+        self.view_age = 0.0
 
     async def state(
         self,
@@ -46,19 +51,28 @@
     async def pending(
         self,
         queue: str,
-    ) -> result.Result[int, leader_client.NoLeaderError]:
+    ) -> result.Result[
+            leader_client.PendingCount,
+            leader_client.NoLeaderError,
+    ]:
         if self.states is None:
             return result.Err(leader_client.NoLeaderError('none'))
-        return result.Ok(self.count)
+        as_of = membership.steady_clock() - self.view_age
+        return result.Ok(leader_client.PendingCount(self.count, as_of))
 
 
 class Ingress:
     """The filter chain over a store and a leader in memory.
 
     :param front: how calls reach the store; by default without a network.
+    :param leader: how calls reach the leader; by default ``Leader``.
     """
 
-    def __init__(self, front: interfaces.Store | None = None) -> None:
+    def __init__(
+        self,
+        front: interfaces.Store | None = None,
+        leader: leader_client.LeaderClient | None = None,
+    ) -> None:
         self.store = memory.MemoryStore()
         self.leader = Leader()
         holder = configuration_holder.ConfigurationHolder()
@@ -66,7 +80,9 @@
             msgspec.json.encode(test_wire.CONFIGURATION)
         )
         endpoint = jobs.JobHandler(
-            front or self.store, wire.PlatformDecoder(), self.leader
+            front or self.store,
+            wire.PlatformDecoder(),
+            leader or self.leader,
         )
         self._chain = calls.chain(
             (
