fleet: a new leader does not count recorded starts as begun jobs

Cause: the record of a job turns active before the start request is sent, and a new leader took every active job as begun.

Change: the record says whether a worker has confirmed or reported a run (written with the job's next change). Until the report of a worker tells whether an earlier leader's start arrived, a new leader does not count for 1 s, then counts the job as pending. Records of earlier versions are read as before.

--- a/src/nutmegworks/fleet/leader.py
+++ b/src/nutmegworks/fleet/leader.py
@@ -36,6 +36,8 @@
 # Two watches without changes, each answered late by a slow store, take less
 # than the 2 s that a count of pending jobs may be old.
 JOBS_WATCH_SECONDS: typing.Final = 0.7
+# Workers that can be reached report within this time of a new term.
+FIRST_REPORTS_SECONDS: typing.Final = 1.0
 WORKERS_PAUSE_SECONDS: typing.Final = 0.3
 RETRY_SECONDS: typing.Final = 0.2
 # The end of a run is acknowledged after it is stored. If that takes longer
@@ -83,6 +85,7 @@
         self._jobs_watcher: prefix_watcher.PrefixWatcher | None = None
         self.state = fleet_state.FleetState(metrics)
         self.loaded = False
+        self._loaded_at = 0.0
         # Jobs with a progress record that were not read; their own records
         # are missing, or can't be decoded.
         self._orphan_ids: set[ids.JobId] = set()
@@ -133,6 +136,18 @@
             return math.inf
         return max(self._jobs_watcher.age(), self._member.renewal_age())
 
+    def count_pending(self, queue: str) -> int | None:
+        """Return of how many accepted jobs of a queue no task has started.
+
+        :return: None if the reports of workers are about to tell. Jobs on
+            workers that do not report are counted.
+        """
+        age = membership.steady_clock() - self._loaded_at
+        reports_due = age < FIRST_REPORTS_SECONDS
+        if reports_due and self.state.awaits_first_reports(queue):
+            return None
+        return self.state.pending(queue)
+
     async def run(self) -> None:
         """Run the controllers until leadership is lost or until cancelled."""
         started_at = membership.steady_clock()
@@ -191,6 +206,7 @@
             await curio.sleep(RETRY_SECONDS)
         self._orphan_ids = progress_ids - self.state.jobs_by_id.keys()
         self._jobs_watcher = jobs
+        self._loaded_at = membership.steady_clock()
         self.loaded = True
         _LOG.info(
             'leader loaded stored state',
--- a/src/nutmegworks/fleet/leader_client.py
+++ b/src/nutmegworks/fleet/leader_client.py
@@ -99,7 +99,8 @@
 ) -> message.Response:
     """Answer a query of a peer from the state of a term.
 
-    :return: 400 if a parameter is missing, 404 for an unknown path.
+    :return: 400 if a parameter is missing, 404 for an unknown path, 503 if the
+        term can not count yet.
     """
     path, _, query = request.target.partition('?')
     parameters = dict(urllib.parse.parse_qsl(query))
@@ -113,7 +114,9 @@
         queue = parameters.get('queue')
         if queue is None:
             return message.Response(400)
-        answer = PendingAnswer(term.state.pending(queue), term.view_age())
+        answer = _count_pending(term, queue)
+        if answer is None:
+            return message.Response(503)
         return message.json_response(200, answer)
     return message.Response(404)
 
@@ -153,12 +156,14 @@
         asked_at = self._clock()
         term = self._own_term()
         if term is not None:
-            answer = PendingAnswer(term.state.pending(queue), term.view_age())
-            return result.Ok(_counted(answer, asked_at))
+            answer = _count_pending(term, queue)
+            if answer is None:
+                return result.Err(NoLeaderError('workers have yet to report'))
+            return result.Ok(_dated(answer, asked_at))
         queried = await self._query(
             PENDING_PATH, {'queue': queue}, PendingAnswer
         )
-        return queried.map(lambda answer: _counted(answer, asked_at))
+        return queried.map(lambda answer: _dated(answer, asked_at))
 
     def _own_term(self) -> leaders.Term | None:
         return serving_term(self._candidate) if self._member.leads else None
@@ -193,7 +198,13 @@
             return result.Err(NoLeaderError(f'unreadable answer: {error}'))
 
 
-def _counted(answer: PendingAnswer, asked_at: float) -> PendingCount:
+def _count_pending(term: leaders.Term, queue: str) -> PendingAnswer | None:
+    """Return a term's answer, None if it can not count yet."""
+    pending = term.count_pending(queue)
+    return None if pending is None else PendingAnswer(pending, term.view_age())
+
+
+def _dated(answer: PendingAnswer, asked_at: float) -> PendingCount:
     """Return the count of an answer to a question asked at a time.
 
     The answer was made later, but nobody else can say when.
--- a/src/nutmegworks/fleet/orders.py
+++ b/src/nutmegworks/fleet/orders.py
@@ -159,7 +159,7 @@
             return
         if outcome is workers.StartOutcome.STARTED:
             run.started = True
-            job.begun = True
+            job.record_start()
             if run.phase is table.RunPhase.ORDERED:
                 run.phase = table.RunPhase.RUNNING
                 run.confirmed_at = now
--- a/src/nutmegworks/fleet/reports.py
+++ b/src/nutmegworks/fleet/reports.py
@@ -121,7 +121,7 @@
         run.record_progress(status.percent, status.checkpoint, now)
         job = self._state.jobs_by_id.get(run.task.job_id)
         if job is not None:
-            job.begun = True
+            job.record_start()
         if run.rate.update(status.percent, now):
             self._state.compare_rate(worker, run)
         if run.phase in (table.RunPhase.ORDERED, table.RunPhase.ADOPTED):
@@ -192,7 +192,7 @@
         if run is not None:
             state.release_run(run, end.kind.value)
         state.changed_ids.add(job.job_id)
-        job.begun = True
+        job.record_start()
         if end.checkpoint and is_current:
             job.progress.saved[job.attempt_key(end.task)] = end.checkpoint
         if end.kind is workers.EndKind.DONE:
--- a/src/nutmegworks/fleet/state.py
+++ b/src/nutmegworks/fleet/state.py
@@ -422,10 +422,20 @@
         )
 
     def pending(self, queue: str) -> int:
-        """Return how many accepted jobs of a queue have not started."""
-        return sum(
-            job.accepted.queue == queue and not job.begun and not job.final
-            for job in self.jobs_by_id.values()
+        """Return of how many accepted jobs of a queue no task has started.
+
+        Jobs that may have begun are included.
+        """
+        return sum(not job.begun for job in self._unfinished_jobs(queue))
+
+    def awaits_first_reports(self, queue: str) -> bool:
+        """Return whether jobs of a queue may have begun."""
+        return any(job.may_have_begun for job in self._unfinished_jobs(queue))
+
+    def _unfinished_jobs(self, queue: str) -> typing.Iterator[table.Job]:
+        return (
+            job for job in self.jobs_by_id.values()
+            if job.accepted.queue == queue and not job.final
         )
 
 
--- a/src/nutmegworks/fleet/table.py
+++ b/src/nutmegworks/fleet/table.py
@@ -162,8 +162,8 @@
         # Of this leader only.
         self.wait_times = wait_causes.WaitTimes(waits_since)
         self.stored_state = progress.state
-        # Whether a worker has confirmed or reported a run of the job.
-        self.begun = progress.state is not records.JobState.QUEUED
+        if progress.begun is None:
+            progress.begun = progress.state is not records.JobState.QUEUED
         # Set when a final state is stored, so that clients may see it.
         self.final_state_stored = curio.Event()
         self.runs_by_task: dict[spec.TaskKey, Run] = {}
@@ -195,6 +195,26 @@
     def final(self) -> bool:
         return records.IS_FINAL[self.progress.state]
 
+    @property
+    def begun(self) -> bool:
+        """Whether a task is known to have started."""
+        return bool(self.progress.begun)
+
+    @property
+    def may_have_begun(self) -> bool:
+        """Whether only the report of a worker can tell if a task has started.
+
+        An earlier leader may have ended before it sent a start request or
+        received the answer.
+        """
+        return not self.begun and any(
+            run.phase is RunPhase.ADOPTED for run in self.runs_by_task.values()
+        )
+
+    def record_start(self) -> None:
+        """Record that a task has started; stored with the next change."""
+        self.progress.begun = True
+
     def done(self, occurrence: int, step: int) -> set[int]:
         """Return the indexes of a step's finished tasks."""
         return self._done.setdefault(step_key(occurrence, step), set())
--- a/src/nutmegworks/tasks/records.py
+++ b/src/nutmegworks/tasks/records.py
@@ -104,6 +104,8 @@
     :param losses: lost runs by task; also the members of a gang are counted
         one by one, since one of them may crash its workers.
     :param ended_at: Unix seconds at which the job ended, 0 before.
+    :param begun: whether a worker has confirmed or reported a run of the job;
+        None if the record is of a version that did not store it.
     """
 
     state: JobState = JobState.QUEUED
@@ -115,6 +117,7 @@
     saved: dict[str, str] = {}
     losses: dict[str, Losses] = {}
     ended_at: float = 0.0
+    begun: bool | None = None
 
 
 class Member(msgspec.Struct, frozen=True):
