ingress, fleet: a state that may have changed is shown for a bounded time

What callers saw: `queued` or `active` of any age while a host could reach neither the leader nor the store; and from a leader that had lost the store, for its own clients, without an end, also after another one had replaced it.

Cause: the cache of states had no times, and a leader checked the age of its lease for calls of other hosts only.

Change: the cache keeps as of when a state was right, and shows one that is not final for 2 s, then 503. A leader answers its own clients under the same condition as other hosts. A store that is known to be down is not asked again before the refusal.

--- a/src/nutmegworks/fleet/leader_client.py
+++ b/src/nutmegworks/fleet/leader_client.py
@@ -166,7 +166,10 @@
         return queried.map(lambda answer: _dated(answer, asked_at))
 
     def _own_term(self) -> leaders.Term | None:
-        return serving_term(self._candidate) if self._member.leads else None
+        """Return the term of this daemon unless a later leader may act."""
+        if not self._member.may_act_as_leader():
+            return None
+        return serving_term(self._candidate)
 
     async def _query(
         self,
--- a/src/nutmegworks/ingress/jobs.py
+++ b/src/nutmegworks/ingress/jobs.py
@@ -42,6 +42,20 @@
 MAX_CACHED_STATES: typing.Final = 2000
 # The platform's limit of the age of a count of pending jobs.
 MAX_COUNT_AGE_SECONDS: typing.Final = 2.0
+# Limit of the age of a state that may have changed since.
+MAX_STATE_AGE_SECONDS: typing.Final = 2.0
+
+
+class _KnownState(typing.NamedTuple):
+    """A job's state that this host was told.
+
+    :param as_of: seconds of ``membership.steady_clock`` at which it was the
+        state; for a final state it does not matter.
+    """
+
+    state: records.JobState
+    as_of: float
+
 
 _State = result.Result[records.JobState | None, interfaces.StoreError]
 
@@ -62,7 +76,7 @@
         self._leader_client = leader_client
         self._state_by_id: collections.OrderedDict[
             ids.JobId,
-            records.JobState,
+            _KnownState,
         ] = collections.OrderedDict()
         self._clock = clock
         self._count_by_queue: dict[str, leader_clients.PendingCount] = {}
@@ -83,12 +97,25 @@
             return calls.refuse(404, 'no job is named')
         return await handler(call)
 
-    def _cache_state(self, job_id: ids.JobId, state: records.JobState) -> None:
-        self._state_by_id[job_id] = state
+    def _cache_state(
+        self,
+        job_id: ids.JobId,
+        state: records.JobState,
+        as_of: float,
+    ) -> None:
+        known = self._state_by_id.get(job_id)
+        if known is None or not records.IS_FINAL[known.state]:
+            self._state_by_id[job_id] = _KnownState(state, as_of)
         self._state_by_id.move_to_end(job_id)
         if len(self._state_by_id) > MAX_CACHED_STATES:
             self._state_by_id.popitem(last=False)
 
+    def _age(self, known: _KnownState) -> float:
+        """Return for how many seconds a known state may have been wrong."""
+        if records.IS_FINAL[known.state]:
+            return 0.0
+        return self._clock() - known.as_of
+
     async def _submit(self, call: calls.Call) -> message.Response:
         job_id = ids.JobId(call.job_name)
         queue = call.queue
@@ -108,11 +135,13 @@
             accepted_at=time.time(),
             body=call.request.body,
         )
+        asked_at = self._clock()
         outcome = await self._create(
             call, records.job_key(job_id), records.encode(accepted)
         )
         if outcome.is_ok():
-            self._state_by_id.setdefault(job_id, records.JobState.QUEUED)
+            if job_id not in self._state_by_id:
+                self._cache_state(job_id, records.JobState.QUEUED, asked_at)
             return message.json_response(200, {})
         if outcome.err_value.effect is call_effect.Effect.NONE:
             return calls.refuse(503, 'the job could not be stored')
@@ -159,24 +188,42 @@
     async def _show(self, call: calls.Call) -> message.Response:
         job_id = ids.JobId(call.job_name)
         cached = self._state_by_id.get(job_id)
-        if cached is not None and records.IS_FINAL[cached]:
-            return message.json_response(200, {'state': cached.value})
+        if cached is not None and records.IS_FINAL[cached.state]:
+            return _show_state(cached.state)
+        asked_at = self._clock()
         answer = await self._leader_client.state(job_id)
         state = answer.ok_value if answer.is_ok() else None
         if state is None:
             stored = await self._stored_state(job_id)
             if stored.is_err():
-                if cached is None:
-                    return calls.refuse(503, 'the state is not known')
-                return message.json_response(200, {'state': cached.value})
+                return self._show_cached(job_id, stored.err_value.detail)
             state = stored.ok_value
         if state is None:
             return message.json_response(410, {})
-        self._cache_state(job_id, state)
-        return message.json_response(200, {'state': state.value})
+        self._cache_state(job_id, state, asked_at)
+        return _show_state(state)
+
+    def _show_cached(self, job_id: ids.JobId, detail: str) -> message.Response:
+        """Answer with a state from before, or refuse if it is out of date.
+
+        :param detail: why the store gave none, for logs.
+        """
+        cached = self._state_by_id.get(job_id)
+        age = None if cached is None else self._age(cached)
+        if cached and age is not None and age <= MAX_STATE_AGE_SECONDS:
+            return _show_state(cached.state)
+        _LOG.info(
+            'state of a job is not known',
+            job=job_id,
+            detail=detail,
+            age=None if age is None else round(age, 3),
+        )
+        return calls.refuse(503, 'the state is not known')
 
     async def _stored_state(self, job_id: ids.JobId) -> _State:
         """Return a job's state from the store, None if there is no job."""
+        if self._store.is_down():
+            return _error('the store is down')
         progress = await self._store.get(records.progress_key(job_id))
         if progress.is_err():
             return progress
@@ -197,8 +244,8 @@
                 return calls.refuse(503, 'the job is not known')
             if stored.ok_value is None:
                 return message.json_response(410, {})
-        if cached is not None and records.IS_FINAL[cached]:
-            return message.json_response(200, {'state': cached.value})
+        if cached is not None and records.IS_FINAL[cached.state]:
+            return _show_state(cached.state)
         outcome = await self._create(call, records.cancel_key(job_id), b'{}')
         if outcome.is_ok():
             return message.json_response(200, {})
@@ -251,9 +298,15 @@
         _LOG.error(
             'job state could not be decoded', key=item.key, error=str(error)
         )
-        return result.Err(
-            interfaces.StoreError(call_effect.Effect.NONE, str(error))
-        )
+        return _error(str(error))
+
+
+def _error(detail: str) -> result.Err[interfaces.StoreError]:
+    return result.Err(interfaces.StoreError(call_effect.Effect.NONE, detail))
+
+
+def _show_state(state: records.JobState) -> message.Response:
+    return message.json_response(200, {'state': state.value})
 
 
 def _not_written(
--- a/tests/ingress/fleet.py
+++ b/tests/ingress/fleet.py
@@ -33,6 +33,10 @@
 )
 
 
+def job_id(number: int) -> ids.JobId:
+    return ids.JobId(f'{number:016x}')
+
+
 class Link(interfaces.Store):
     """One host's link to a store.
 
@@ -164,7 +168,7 @@
         """Accept jobs, none of which can begin."""
         for number in range(count):
             response = await self.ingress.call(
-                'POST', f'{QUEUE_PATH}{number:016x}', body=builders.BODY
+                'POST', f'{QUEUE_PATH}{job_id(number)}', body=builders.BODY
             )
             assert response.status == 200
 
@@ -179,7 +183,9 @@
 
     async def state(self, number: int) -> str | None:
         """Return a job's state, None if the call is refused."""
-        response = await self.ingress.call('GET', f'{QUEUE_PATH}{number:016x}')
+        response = await self.ingress.call(
+            'GET', f'{QUEUE_PATH}{job_id(number)}'
+        )
         if response.status == 503:
             assert response.headers['retry-after'] == '1'
             return None
@@ -217,4 +223,4 @@
             await host.stop_process()
 
 
-__all__ = ('Host', 'Link', 'QUEUE_PATH', 'running')
+__all__ = ('Host', 'Link', 'QUEUE_PATH', 'job_id', 'running')
