ingress: an outdated configuration denies neither queues nor keys

What callers saw: 404 "no such queue" and 401 for a queue or a key that had been added, at a host that could not read the configuration any more, for as long as that lasted.

Cause: the filters answered from the last configuration without its age, which was known for the metrics only.

Change: if the configuration was last read over 3 s ago, what it does not contain is refused with 503 and Retry-After; what it contains is served. Its age counts suspension too.

Test: tests/ingress/test_jobs.py::test_unknown_names_are_not_denied_by_an_ outdated_configuration; before the change the answers are 401 and 404.

--- a/src/nutmegworks/daemon/fleetnode.py
+++ b/src/nutmegworks/daemon/fleetnode.py
@@ -79,7 +79,9 @@
         )
         self._store = metastore.MetadataStore(self._store_transport)
         self._decoder = wire.PlatformDecoder()
-        self._configuration_holder = configuration_holder.ConfigurationHolder()
+        self._configuration_holder = configuration_holder.ConfigurationHolder(
+            self._configuration_age
+        )
         self._configuration_watcher = self._make_watcher(
             wire.OPERATORS_PREFIX,
             configuration_holder.ConfigurationSink(
@@ -124,6 +126,9 @@
             ),
         )
 
+    def _configuration_age(self) -> float:
+        return self._configuration_watcher.age()
+
     def _make_filter_chain(self) -> calls.Proceed:
         job_handler = jobs.JobHandler(
             self._store, self._decoder, self._leader_client
@@ -181,7 +186,7 @@
         term = leader_client.serving_term(self._candidate)
         metrics.leading.set({}, int(term is not None))
         metrics.renewal_age.set({}, self._membership.renewal_age())
-        metrics.config_age.set({}, self._configuration_watcher.age())
+        metrics.config_age.set({}, self._configuration_age())
         if self._configuration_holder.value is not None:
             metrics.config_version.set(
                 {}, self._configuration_holder.value.version
@@ -244,6 +249,7 @@
             sink,
             pause=CONTROL_PAUSE_SECONDS,
             relist=CONTROL_RELIST_SECONDS,
+            clock=membership.steady_clock,
         )
 
     async def _stop_on_signal(self, queue: signals.SignalReceiver) -> bool:
--- a/src/nutmegworks/fleet/configuration_holder.py
+++ b/src/nutmegworks/fleet/configuration_holder.py
@@ -11,16 +11,28 @@
 
 _LOG: typing.Final = logbook.Logger('configured')
 
+# Two watches without a change take 2 s, and 2.5 s with a slow store.
+MAX_AGE_SECONDS: typing.Final = 3.0
+
 
 class ConfigurationHolder:
     """The current configuration.
 
+    :param age: returns the seconds since the last answered read was sent.
     :ivar value: None until a configuration has been read.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, age: typing.Callable[[], float] = lambda: 0.0) -> None:
+        self._age = age
         self.value: configuration.Configuration | None = None
 
+    def may_be_outdated(self) -> bool:
+        """Return whether a newer configuration may have been in force.
+
+        What this one does not contain may then exist all the same.
+        """
+        return self._age() > MAX_AGE_SECONDS
+
 
 class ConfigurationSink(prefix_watcher.Sink):
     """Adopts configuration versions from the store, in rising order only."""
@@ -61,4 +73,4 @@
         )
 
 
-__all__ = ('ConfigurationHolder', 'ConfigurationSink')
+__all__ = ('ConfigurationHolder', 'ConfigurationSink', 'MAX_AGE_SECONDS')
--- a/src/nutmegworks/ingress/filters.py
+++ b/src/nutmegworks/ingress/filters.py
@@ -46,7 +46,11 @@
 
 
 class RoutingFilter(calls.Filter):
-    """Finds the queue of a call by its host and path."""
+    """Finds the queue of a call by its host and path.
+
+    While the configuration may be outdated, an unknown queue is refused with
+    503 in place of 404.
+    """
 
     def __init__(
         self, holder: configuration_holder.ConfigurationHolder
@@ -65,7 +69,9 @@
         path = call.request.target.split('?', 1)[0]
         queue = configuration.route(host, path)
         if queue is None:
-            return calls.refuse(404, 'no such queue')
+            return _refuse_unknown(
+                self._configuration_holder, 404, 'no such queue'
+            )
         call.queue = queue
         call.job_name = path.removeprefix(queue.prefix)
         return await proceed(call)
@@ -93,6 +99,8 @@
     """Finds the team of a call by its API key.
 
     Calls without a valid key pass only if their queue allows anonymous ones.
+    While the configuration may be outdated, others are refused with 503 in
+    place of 401.
     """
 
     def __init__(
@@ -113,11 +121,28 @@
         if header[:len(_BEARER)].lower() == _BEARER:
             team = configuration.team_for_key(key)
         if team is None and not call.queue.allows_anonymous:
-            return calls.refuse(401, 'unknown key')
+            return _refuse_unknown(
+                self._configuration_holder, 401, 'unknown key'
+            )
         call.team_id = team.team_id if team is not None else ''
         return await proceed(call)
 
 
+def _refuse_unknown(
+    holder: configuration_holder.ConfigurationHolder,
+    status: int,
+    reason: str,
+) -> message.Response:
+    """Refuse a call that names what the configuration does not contain.
+
+    A newer one may contain it, so the client is told to retry if this one may
+    be outdated.
+    """
+    if holder.may_be_outdated():
+        return calls.refuse(503, f'{reason}; configuration may be outdated')
+    return calls.refuse(status, reason)
+
+
 __all__ = (
     'AuthenticationFilter',
     'JobNameFilter',
--- a/tests/ingress/builders.py
+++ b/tests/ingress/builders.py
@@ -66,6 +66,7 @@
 
     :param front: how calls reach the store; by default without a network.
     :param leader: how calls reach the leader; by default ``Leader``.
+    :ivar configuration_age: seconds since the configuration was last read.
     """
 
     def __init__(
@@ -75,7 +76,10 @@
     ) -> None:
         self.store = memory.MemoryStore()
         self.leader = Leader()
-        holder = configuration_holder.ConfigurationHolder()
+        self.configuration_age = 0.0
+        holder = configuration_holder.ConfigurationHolder(
+            lambda: self.configuration_age
+        )
         holder.value = wire.decode_configuration(
             msgspec.json.encode(test_wire.CONFIGURATION)
         )
--- a/tests/ingress/test_jobs.py
+++ b/tests/ingress/test_jobs.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from nutmegworks.fleet import configuration_holder
 from nutmegworks.tasks import records
 from tests.ingress import builders
 
@@ -78,6 +79,27 @@
     builders.run(case)
 
 
+def test_unknown_names_are_not_denied_by_an_outdated_configuration() -> None:
+    """Guards against 404 and 401 for a queue and a key that were added.
+
+    A host that does not reach the store can't know that; its client retries,
+    perhaps at another host.
+    """
+
+    async def case(ingress: builders.Ingress) -> None:
+        ingress.configuration_age = configuration_holder.MAX_AGE_SECONDS + 0.1
+        for response in (
+                await ingress.call('POST', key='k9', body=builders.BODY),
+                await ingress.call('GET', '/other/'),
+        ):
+            assert response.status == 503
+            assert response.headers['retry-after'] == '1'
+        # What it does contain is served.
+        assert (await ingress.submit()).status == 200
+
+    builders.run(case)
+
+
 def test_a_job_that_the_leader_does_not_know_yet_is_queued() -> None:
     """410 for an accepted job would tell its client that it was lost."""
 
