ingress: a cancel does not rely on an old sight of its job

What callers saw: 200 for the cancel of a job that had ended and been removed, at a host that had last heard of it before its end; the record of the cancel then stayed in the store for ever.

Cause: that a job exists was taken from the cache of states, of any age.

Change: a job that was last known unfinished longer ago than jobs are kept after their end is looked up again.

--- a/src/nutmegworks/daemon/fleetnode.py
+++ b/src/nutmegworks/daemon/fleetnode.py
@@ -131,7 +131,10 @@
 
     def _make_filter_chain(self) -> calls.Proceed:
         job_handler = jobs.JobHandler(
-            self._store, self._decoder, self._leader_client
+            self._store,
+            self._decoder,
+            self._leader_client,
+            retention_seconds=self._settings.bounds.status_retention,
         )
         return calls.chain(
             (
--- a/src/nutmegworks/ingress/jobs.py
+++ b/src/nutmegworks/ingress/jobs.py
@@ -61,7 +61,10 @@
 
 
 class JobHandler:
-    """Handles the calls of clients to the queues."""
+    """Handles the calls of clients to the queues.
+
+    :param retention_seconds: time for which a job is stored after its end.
+    """
 
     def __init__(
         self,
@@ -69,6 +72,7 @@
         decoder: interfaces.Decoder,
         leader_client: leader_clients.LeaderClient,
         *,
+        retention_seconds: float,
         clock: typing.Callable[[], float] = membership.steady_clock,
     ) -> None:
         self._store = store
@@ -78,6 +82,7 @@
             ids.JobId,
             _KnownState,
         ] = collections.OrderedDict()
+        self._retention_seconds = retention_seconds
         self._clock = clock
         self._count_by_queue: dict[str, leader_clients.PendingCount] = {}
         self._handlers = {
@@ -238,7 +243,8 @@
     async def _cancel(self, call: calls.Call) -> message.Response:
         job_id = ids.JobId(call.job_name)
         cached = self._state_by_id.get(job_id)
-        if cached is None:
+        if cached is None or self._age(cached) > self._retention_seconds:
+            # The job may have ended and been removed meanwhile.
             stored = await self._store.get(records.job_key(job_id))
             if stored.is_err():
                 return calls.refuse(503, 'the job is not known')
--- a/tests/ingress/builders.py
+++ b/tests/ingress/builders.py
@@ -27,6 +27,7 @@
 BODY = msgspec.json.encode({'spec': 'text', 'steps': [builders.step()]})
 JOB = ids.JobId('5c0e7a21d94b36f8')
 PATH = f'/plans/{JOB}'
+RETENTION_SECONDS = 120.0
 
 
 class Leader(leader_client.LeaderClient):
@@ -87,6 +88,7 @@
             front or self.store,
             wire.PlatformDecoder(),
             leader or self.leader,
+            retention_seconds=RETENTION_SECONDS,
         )
         self._chain = calls.chain(
             (
--- a/tests/ingress/test_known_states.py
+++ b/tests/ingress/test_known_states.py
@@ -141,3 +141,23 @@
         assert (await ingress.call('GET')).status == 503
 
     helpers.run(main)
+
+
+def test_cancel_of_a_job_that_was_removed_is_answered_410(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a cancel that is stored for no job, for ever.
+
+    The host knew the job, and has not heard of its end.
+    """
+    clock = _Clock(monkeypatch)
+
+    async def case(ingress: builders.Ingress) -> None:
+        await ingress.submit()
+        ingress.store.remove(records.job_key(builders.JOB))
+        clock.skipped = builders.RETENTION_SECONDS + 1
+        assert (await ingress.call('DELETE')).status == 410
+        cancel_key = records.cancel_key(builders.JOB)
+        assert cancel_key not in ingress.store.item_by_key
+
+    builders.run(case)
