--- a/src/nutmegworks/fleet/leader.py
+++ b/src/nutmegworks/fleet/leader.py
@@ -129,18 +129,19 @@
     def view_age(self) -> float:
         """Return how many seconds old this term's view of the jobs may be.
 
-        Every job that was accepted before is known, and no other leader had
-        begun one by then. Infinite until the stored jobs have been read.
+        It has all jobs accepted before then, and no other leader has started
+        tasks before then. Infinite until the stored jobs have been read.
         """
         if self._jobs_watcher is None:
             return math.inf
         return max(self._jobs_watcher.age(), self._member.renewal_age())
 
     def count_pending(self, queue: str) -> int | None:
-        """Return of how many accepted jobs of a queue no task has started.
+        """Return the number of a queue's jobs without a started task.
 
-        :return: None if the reports of workers are about to tell. Jobs on
-            workers that do not report are counted.
+        :return: None while workers may be about to report tasks that an
+            earlier leader started. Later, such a job is counted for as long
+            as its worker does not report.
         """
         age = membership.steady_clock() - self._loaded_at
         reports_due = age < FIRST_REPORTS_SECONDS
--- a/src/nutmegworks/fleet/leader_client.py
+++ b/src/nutmegworks/fleet/leader_client.py
@@ -43,8 +43,8 @@
 class PendingAnswer(msgspec.Struct):
     """The response to a query for the pending jobs of a queue.
 
-    :param age: seconds before the response at which the number was certainly
-        right; jobs accepted since may be missing.
+    :param age: seconds before the response from which on accepted jobs may be
+        missing in the number.
     """
 
     pending: documents.Count
@@ -208,9 +208,10 @@
 
 
 def _dated(answer: PendingAnswer, asked_at: float) -> PendingCount:
-    """Return the count of an answer to a question asked at a time.
+    """Return a count that is dated from the time of the query.
 
-    The answer was made later, but nobody else can say when.
+    The response itself may have been on its way for long, and the clocks of
+    hosts differ.
     """
     return PendingCount(answer.pending, asked_at - answer.age)
 
--- a/src/nutmegworks/fleet/state.py
+++ b/src/nutmegworks/fleet/state.py
@@ -422,14 +422,14 @@
         )
 
     def pending(self, queue: str) -> int:
-        """Return of how many accepted jobs of a queue no task has started.
+        """Return the number of a queue's jobs without a started task.
 
-        Jobs that may have begun are included.
+        Jobs of which a task may have started are included.
         """
         return sum(not job.begun for job in self._unfinished_jobs(queue))
 
     def awaits_first_reports(self, queue: str) -> bool:
-        """Return whether jobs of a queue may have begun."""
+        """Return whether a task of one of a queue's jobs may have started."""
         return any(job.may_have_begun for job in self._unfinished_jobs(queue))
 
     def _unfinished_jobs(self, queue: str) -> typing.Iterator[table.Job]:
--- a/src/nutmegworks/ingress/jobs.py
+++ b/src/nutmegworks/ingress/jobs.py
@@ -40,6 +40,8 @@
 # Limit of the cache of job states, which answers clients that query again
 # after the end of their job, also while the store is down.
 MAX_CACHED_STATES: typing.Final = 2000
+# Limit of the kept counts; queues come and go with the configuration.
+MAX_KEPT_COUNTS: typing.Final = 2000
 # The platform's limit of the age of a count of pending jobs.
 MAX_COUNT_AGE_SECONDS: typing.Final = 2.0
 # Limit of the age of a state that may have changed since.
@@ -84,7 +86,10 @@
         ] = collections.OrderedDict()
         self._retention_seconds = retention_seconds
         self._clock = clock
-        self._count_by_queue: dict[str, leader_clients.PendingCount] = {}
+        self._count_by_queue: collections.OrderedDict[
+            str,
+            leader_clients.PendingCount,
+        ] = collections.OrderedDict()
         self._handlers = {
             'POST': self._submit,
             'GET': self._show,
@@ -214,14 +219,13 @@
         :param detail: why the store gave none, for logs.
         """
         cached = self._state_by_id.get(job_id)
-        age = None if cached is None else self._age(cached)
-        if cached and age is not None and age <= MAX_STATE_AGE_SECONDS:
+        if cached is not None and self._age(cached) <= MAX_STATE_AGE_SECONDS:
             return _show_state(cached.state)
         _LOG.info(
             'state of a job is not known',
             job=job_id,
             detail=detail,
-            age=None if age is None else round(age, 3),
+            age=None if cached is None else round(self._age(cached), 3),
         )
         return calls.refuse(503, 'the state is not known')
 
@@ -291,6 +295,9 @@
         kept = self._count_by_queue.get(queue)
         if kept is None or kept.as_of <= count.as_of:
             self._count_by_queue[queue] = count
+            self._count_by_queue.move_to_end(queue)
+        if len(self._count_by_queue) > MAX_KEPT_COUNTS:
+            self._count_by_queue.popitem(last=False)
 
 
 def _attempt_interval() -> float:
