--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -26,6 +26,8 @@
     :param states: the states that a caller read, without repetitions.
     :param attempts: failures of a task after which the job fails.
     :param always_fails: all of its runs fail through their own fault.
+    :param queue: the priority of its queue.
+    :param accepted_at: monotonic seconds at which it was known as accepted.
     """
 
     submission: spec.Submission
@@ -35,6 +37,8 @@
     uncertain: bool = False
     cancelled_at: float | None = None
     states: list[str] = []
+    queue: int = 1
+    accepted_at: float | None = None
 
 
 class HistoryChecker:
@@ -43,11 +47,11 @@
     :ivar violations: one text per violation, which starts with the rule:
         ``limit`` (a worker exceeds its resources), ``lost`` (a job is
         unknown, failed, cancelled or unfinished without cause, or a step
-        waits beside room), ``mixed``
-        (a job succeeds before its steps), ``order`` (a step starts before
-        its dependency), ``refused`` (a refused job runs), ``twice`` (a task
-        runs again) or ``unasked`` (a run with another payload or of a
-        cancelled job).
+        waits beside room), ``mixed`` (a job succeeds before its steps, or a
+        count of pending jobs is too low), ``order`` (a step starts before its
+        dependency), ``refused`` (a refused job runs), ``twice`` (a task runs
+        again) or ``unasked`` (a run with another payload or of a cancelled
+        job).
     """
 
     def __init__(self) -> None:
@@ -72,8 +76,11 @@
         *,
         attempts: int = 3,
         always_fails: bool = False,
+        queue: int = 1,
     ) -> JobView:
-        view = JobView(wire.decode_submission(body), attempts, always_fails)
+        view = JobView(
+            wire.decode_submission(body), attempts, always_fails, queue=queue
+        )
         self.jobs_by_id[job_id] = view
         return view
 
@@ -220,6 +227,20 @@
         if state == 'cancelled' and view.cancelled_at is None:
             self.report('lost', f'{job_id} shown as cancelled')
 
+    def record_count(self, queue: int, pending: int, until: float) -> None:
+        """Check a queue's number of pending jobs as a caller was told it.
+
+        :param until: monotonic seconds; jobs accepted before it must count.
+        """
+        waiting = sum(
+            view.queue == queue and view.accepted_at is not None
+            and view.accepted_at < until and view.cancelled_at is None
+            and job_id not in self._started_ids
+            for job_id, view in self.jobs_by_id.items()
+        )
+        if 2 * pending < waiting:
+            self.report('mixed', f'{pending} pending while {waiting} wait')
+
     def unfinished(self) -> list[ids.JobId]:
         """Return accepted jobs whose end was not shown."""
         return [
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -58,6 +58,11 @@
 # For which the store waits for the write in which it ends.
 WRITE_TIMEOUT_SECONDS: typing.Final = 2.0
 POLL_INTERVAL_SECONDS: typing.Final = 0.3
+# A job that was accepted this long before must be in a count of pending jobs:
+# the platform's visible_ms and 2 s.
+COUNT_SECONDS: typing.Final = 5.0
+# Long enough for a daemon's last count of a queue to be out of date.
+COUNT_INTERVAL_SECONDS: typing.Final = 1.0
 HEARTBEAT_INTERVAL_SECONDS: typing.Final = 1.0
 # Faults of the leader reveal more than those of other daemons.
 LEADER_SHARE: typing.Final = 0.6
@@ -260,6 +265,7 @@
             await self._wait_for_daemons()
             load = await curio.spawn(self._submit_jobs)
             faults = await curio.spawn(self._inject_faults)
+            await curio.spawn(self._count_pending, daemon=True)
             await faults.join()
             await load.join()
             await self._judge_waiting()
@@ -430,6 +436,7 @@
             body,
             attempts=ATTEMPTS,
             always_fails=job_plan.always_fails,
+            queue=job_plan.priority,
         )
         until = time.monotonic() + (
             SUBMIT_TIMEOUT_SECONDS if job_plan.patient else IMPATIENT_SECONDS
@@ -441,6 +448,7 @@
                 view.uncertain = True
             elif answer.status == 200:
                 view.accepted = True
+                view.accepted_at = time.monotonic()
             else:
                 await curio.sleep(POLL_INTERVAL_SECONDS)
         cancelled = False
@@ -460,6 +468,24 @@
                 self.checker.violations.append(f'lost: {job_id} is not known')
             await curio.sleep(POLL_INTERVAL_SECONDS)
 
+    async def _count_pending(self) -> None:
+        """Ask daemons for the numbers of pending jobs, until cancelled."""
+        # Not the seeded generator, which determines the faults and the load.
+        rng = random.Random(self._plan.seed)
+        while True:
+            await curio.sleep(COUNT_INTERVAL_SECONDS)
+            queue = rng.choice(PRIORITIES)
+            asked_at = time.monotonic()
+            answer = await self._call(
+                rng.choice(self._daemons), 'GET', f'{PREFIX}{queue}/', b''
+            )
+            if answer is not None and answer.status == 200:
+                self.checker.record_count(
+                    queue,
+                    msgspec.json.decode(answer.body)['pending'],
+                    asked_at - COUNT_SECONDS,
+                )
+
     @staticmethod
     def _has_ended(view: checkers.JobView) -> bool:
         return bool({'succeeded', 'cancelled', 'failed'} & set(view.states))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -117,6 +117,20 @@
     assert checker.violations[0].startswith('mixed')
 
 
+def test_low_count_of_pending_jobs_is_reported() -> None:
+    """Guards against missing a count that is out of date."""
+    checker = _make_checker()
+    checker.jobs_by_id[JOB_ID].accepted_at = 10.0
+    checker.record_count(1, 0, until=9.0)
+    checker.record_count(1, 1, until=11.0)
+    assert checker.violations == []
+    checker.record_count(1, 0, until=11.0)
+    _start(checker, '0.0')
+    checker.record_count(1, 0, until=11.0)
+    assert len(checker.violations) == 1
+    assert checker.violations[0].startswith('mixed')
+
+
 def test_run_of_refused_job_is_reported() -> None:
     """Guards against missing a job that runs although it was refused."""
     checker = _make_checker()
