--- a/tests/fleet/simulation.py
+++ b/tests/fleet/simulation.py
@@ -270,7 +270,8 @@
 
     def start(self, job: table.Job, run: table.Run) -> None:
         """Start a run on its worker."""
-        run.sent = run.started = job.begun = True
+        run.sent = run.started = True
+        job.record_start()
         run.phase = table.RunPhase.RUNNING
         run.confirmed_at = self.now
         host = self.hosts_by_id[run.worker_id]
