--- a/tests/fleet/test_pending.py
+++ b/tests/fleet/test_pending.py
@@ -151,8 +151,12 @@
             await builders.wait_until(lambda: _count(term) == 0)
         assert len(fleet.starts) == 1
         store.remove(records.LEADER_KEY)
+        fleet.unreachable.add(ids.WorkerId('w1'))
         async with builders.running_term(store, fleet, 'host-2') as term:
-            assert await _answers(term, 0.5) == {None, 0}
+            assert await _answers(term, 0.3) == {None}
+            fleet.unreachable.clear()
+            answers = await _answers(term, leader.FIRST_REPORTS_SECONDS)
+            assert answers == {None, 0}
         assert len(fleet.starts) == 1
 
     helpers.run(main)
--- a/tests/ingress/fleet.py
+++ b/tests/ingress/fleet.py
@@ -2,10 +2,12 @@
 from __future__ import annotations
 
 import contextlib
+import time
 import typing
 
 import curio
 import msgspec
+import pytest
 import result
 
 from nutmegworks.fleet import interfaces
@@ -37,11 +39,29 @@
     return ids.JobId(f'{number:016x}')
 
 
+class Clock:
+    """The clock that runs during suspension; a test moves it on.
+
+    :ivar skipped: seconds.
+    """
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.skipped = 0.0
+        self._read = time.clock_gettime
+        monkeypatch.setattr(time, 'clock_gettime', self._skip)
+
+    def _skip(self, clock: int) -> float:
+        boottime = clock == time.CLOCK_BOOTTIME
+        return self._read(clock) + (self.skipped if boottime else 0.0)
+
+
 class Link(interfaces.Store):
     """One host's link to a store.
 
     :ivar cut: calls fail without effect.
     :ivar slow_lists: listings are not answered until it is unset.
+    :ivar reads_cut: listings and watches fail; all other calls are answered.
+    :ivar renewals_cut: renewals of leases fail; all other calls are answered.
     :ivar delay: seconds that each answer takes.
     """
 
@@ -49,6 +69,8 @@
         self._store = store
         self.cut = False
         self.slow_lists = False
+        self.reads_cut = False
+        self.renewals_cut = False
         self.delay = 0.0
 
     async def _pass(self, answer: typing.Awaitable[typing.Any]) -> typing.Any:
@@ -65,7 +87,8 @@
     async def list(self, prefix: str) -> typing.Any:
         while self.slow_lists:
             await curio.sleep(POLL_SECONDS)
-        return await self._pass(self._store.list(prefix))
+        listed = await self._pass(self._store.list(prefix))
+        return _DOWN if self.reads_cut else listed
 
     async def watch(
         self,
@@ -73,7 +96,8 @@
         after: ids.StoreRevision,
         wait: float,
     ) -> typing.Any:
-        return await self._pass(self._store.watch(prefix, after, wait))
+        watched = await self._pass(self._store.watch(prefix, after, wait))
+        return _DOWN if self.reads_cut else watched
 
     async def commit(
         self,
@@ -90,7 +114,8 @@
         return await self._pass(self._store.grant_lease(seconds))
 
     async def renew_lease(self, lease_id: interfaces.LeaseId) -> typing.Any:
-        return await self._pass(self._store.renew_lease(lease_id))
+        renewed = await self._pass(self._store.renew_lease(lease_id))
+        return _DOWN if self.renewals_cut else renewed
 
     async def end_lease(self, lease_id: interfaces.LeaseId) -> typing.Any:
         return await self._pass(self._store.end_lease(lease_id))
@@ -223,4 +248,4 @@
             await host.stop_process()
 
 
-__all__ = ('Host', 'Link', 'QUEUE_PATH', 'job_id', 'running')
+__all__ = ('Clock', 'Host', 'Link', 'QUEUE_PATH', 'job_id', 'running')
--- a/tests/ingress/test_known_states.py
+++ b/tests/ingress/test_known_states.py
@@ -1,34 +1,24 @@
 """States of jobs while neither the leader nor the store can be asked."""
 from __future__ import annotations
 
-import time
 import typing
 
+import curio
 import msgspec
 import pytest
+import result
 
 from nutmegworks.fleet import membership
 from nutmegworks.ingress import jobs
+from nutmegworks.model import ids
 from nutmegworks.tasks import records
+from tests.fleet import builders as fleet_builders
 from tests.fleet import memory
 from tests import helpers
 from tests.ingress import builders
 from tests.ingress import fleet
 
 
-class _Clock:
-    """A clock that a test moves on."""
-
-    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
-        self.skipped = 0.0
-        self._read = time.clock_gettime
-        monkeypatch.setattr(time, 'clock_gettime', self._skip)
-
-    def _skip(self, clock: int) -> float:
-        boottime = clock == time.CLOCK_BOOTTIME
-        return self._read(clock) + (self.skipped if boottime else 0.0)
-
-
 async def _lose_all(ingress: builders.Ingress) -> None:
     ingress.leader.states = None
     ingress.store.down = True
@@ -45,7 +35,7 @@
     state: records.JobState, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against a job that is active, by a host that lost touch."""
-    clock = _Clock(monkeypatch)
+    clock = fleet.Clock(monkeypatch)
 
     async def case(ingress: builders.Ingress) -> None:
         await ingress.submit()
@@ -68,7 +58,7 @@
     monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against a state that no leader has confirmed."""
-    clock = _Clock(monkeypatch)
+    clock = fleet.Clock(monkeypatch)
 
     async def case(ingress: builders.Ingress) -> None:
         await ingress.submit()
@@ -84,7 +74,7 @@
     monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against a refusal of what can't change any more."""
-    clock = _Clock(monkeypatch)
+    clock = fleet.Clock(monkeypatch)
 
     async def case(ingress: builders.Ingress) -> None:
         assert ingress.leader.states is not None
@@ -106,12 +96,17 @@
     A leader that can't reach the store does not learn of its successor. It
     answered its own clients without an end, and other hosts for 6 s.
     """
-    clock = _Clock(monkeypatch)
+    clock = fleet.Clock(monkeypatch)
 
     async def main() -> None:
         store = memory.MemoryStore()
         async with fleet.running(store) as (leader, other):
             await leader.submit(1)
+            term = leader.candidate.term
+            assert term is not None
+            await fleet_builders.wait_until(
+                lambda: fleet.job_id(0) in term.state.jobs_by_id
+            )
             assert await leader.state(0) == 'queued'
             leader.link.cut = True
             done = records.Progress(state=records.JobState.SUCCEEDED)
@@ -125,6 +120,40 @@
     helpers.run(main)
 
 
+def test_late_answer_does_not_replace_a_final_state() -> None:
+    """Guards against a job that is active again after it has succeeded."""
+
+    class _LateLeader(builders.Leader):
+        """Gives its first answer when the test lets it."""
+
+        def __init__(self) -> None:
+            super().__init__()
+            self.answers = [records.JobState.ACTIVE]
+            self.released = curio.Event()
+
+        async def state(self, job_id: ids.JobId) -> typing.Any:
+            if not self.answers:
+                return await super().state(job_id)
+            late = self.answers.pop()
+            await self.released.wait()
+            return result.Ok(late)
+
+    async def main() -> None:
+        leader = _LateLeader()
+        ingress = builders.Ingress(leader=leader)
+        first = await curio.spawn(ingress.call, 'GET')
+        await fleet_builders.wait_until(lambda: not leader.answers)
+        leader.states = {builders.JOB: records.JobState.SUCCEEDED}
+        assert _state((await ingress.call('GET')).body) == 'succeeded'
+        await leader.released.set()
+        await first.join()
+        leader.states = None
+        ingress.store.down = True
+        assert _state((await ingress.call('GET')).body) == 'succeeded'
+
+    helpers.run(main)
+
+
 def test_state_is_refused_at_once_while_the_store_is_down() -> None:
     """Guards against a wait for a store that is known not to answer."""
 
@@ -143,6 +172,25 @@
     helpers.run(main)
 
 
+def test_cancel_of_a_job_that_is_known_to_have_ended_needs_no_store(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a refusal of what can't change any more."""
+    clock = fleet.Clock(monkeypatch)
+
+    async def case(ingress: builders.Ingress) -> None:
+        assert ingress.leader.states is not None
+        ingress.leader.states[builders.JOB] = records.JobState.SUCCEEDED
+        await ingress.call('GET')
+        await _lose_all(ingress)
+        clock.skipped = builders.RETENTION_SECONDS + 1
+        response = await ingress.call('DELETE')
+        assert response.status == 200
+        assert _state(response.body) == 'succeeded'
+
+    builders.run(case)
+
+
 def test_cancel_of_a_job_that_was_removed_is_answered_410(
     monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -150,7 +198,7 @@
 
     The host knew the job, and has not heard of its end.
     """
-    clock = _Clock(monkeypatch)
+    clock = fleet.Clock(monkeypatch)
 
     async def case(ingress: builders.Ingress) -> None:
         await ingress.submit()
--- a/tests/ingress/test_pending_counts.py
+++ b/tests/ingress/test_pending_counts.py
@@ -49,6 +49,10 @@
     leader.link.cut = True
 
 
+async def _reads_nothing(leader: fleet.Host) -> None:
+    leader.link.reads_cut = True
+
+
 async def _has_no_term(leader: fleet.Host) -> None:
     assert leader.candidate.term is not None
     leader.link.slow_lists = True
@@ -67,6 +71,14 @@
     _is_killed,
     _is_silent,
     _loses_the_store,
+    _reads_nothing,
+    _has_no_term,
+    _leaves,
+)
+
+WAYS_TO_LOSE_TOUCH: typing.Final = (
+    _loses_the_store,
+    _reads_nothing,
     _has_no_term,
     _leaves,
 )
@@ -105,9 +117,7 @@
 
 
 @pytest.mark.usefixtures('short_times')
-@pytest.mark.parametrize(
-    'goes_away', [_loses_the_store, _has_no_term, _leaves]
-)
+@pytest.mark.parametrize('goes_away', WAYS_TO_LOSE_TOUCH)
 def test_leader_that_is_out_of_date_does_not_count_for_its_own_clients(
     goes_away: typing.Callable[[fleet.Host], typing.Awaitable[None]],
 ) -> None:
@@ -128,29 +138,45 @@
 
 
 @pytest.mark.usefixtures('short_times')
+def test_leader_whose_lease_is_not_renewed_does_not_count() -> None:
+    """Guards against a count beside another leader that starts tasks.
+
+    The leader still reads of all jobs, but not of what the other one starts.
+    """
+
+    async def main() -> None:
+        async with fleet.running(memory.MemoryStore()) as (leader, other):
+            assert await leader.pending() == 0
+            leader.link.renewals_cut = True
+            await other.submit(JOBS)
+            await curio.sleep(MAX_AGE_SECONDS + 0.1)
+            assert await _answers(leader) == {None}
+            assert await _answers(other) == {None}
+
+    helpers.run(main)
+
+
+@pytest.mark.usefixtures('short_times')
+@pytest.mark.parametrize('goes_away', [_loses_the_store, _reads_nothing])
 def test_suspended_leader_does_not_count_as_if_no_time_had_passed(
-    monkeypatch: pytest.MonkeyPatch
+    goes_away: typing.Callable[[fleet.Host], typing.Awaitable[None]],
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against ages on a clock that stands still during suspension."""
-    suspended = 0.0
-    clock_gettime = time.clock_gettime
-
-    def read(clock: int) -> float:
-        offset = suspended if clock == time.CLOCK_BOOTTIME else 0.0
-        return clock_gettime(clock) + offset
+    clock = fleet.Clock(monkeypatch)
 
     async def main() -> None:
-        nonlocal suspended
         async with fleet.running(memory.MemoryStore()) as (leader, other):
             for host in (leader, other):
                 assert await host.pending() == 0
-            leader.link.cut = True
+            await goes_away(leader)
             await other.submit(JOBS)
-            suspended = SUSPENSION_SECONDS
+            clock.skipped = SUSPENSION_SECONDS
+            # A renewal of the lease, if it is still answered.
+            await curio.sleep(MAX_AGE_SECONDS / 3)
             for host in (leader, other):
                 assert await host.pending() is None
 
-    monkeypatch.setattr(time, 'clock_gettime', read)
     helpers.run(main)
 
 
@@ -211,6 +237,22 @@
     builders.run(case)
 
 
+def test_kept_counts_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against memory that grows with each queue of a configuration."""
+    monkeypatch.setattr(jobs, 'MAX_KEPT_COUNTS', 1)
+
+    async def case(ingress: builders.Ingress) -> None:
+        for path in (fleet.QUEUE_PATH, f'{fleet.QUEUE_PATH}wide/'):
+            assert (await ingress.call('GET', path)).status == 200
+        ingress.leader.states = None
+        # The count of the first queue has made way for that of the second.
+        assert (await ingress.call('GET', path)).status == 200
+        response = await ingress.call('GET', fleet.QUEUE_PATH)
+        assert response.status == 503
+
+    builders.run(case)
+
+
 def test_older_answer_does_not_replace_a_newer_count() -> None:
     """Guards against the count of a former leader that answers last."""
 
