net, policy: one budget of bytes for all connections of a process

Callers saw: connections broke and no calls were answered, as the process had run out of memory.

Cause: nothing counted bytes over all connections. A body was collected up to 1 MiB on each of up to 1,024 connections before anything was known of it. The limits of the configuration and the memory of the machine were not read.

Change: a budget, a quarter of the memory of the process, from which all its servers and clients take before they read on; net/channel.py is the only module that reads sockets. A body takes eight times its size, for its copies, at its head if that announces it. Small bodies and the daemon's own traffic have parts that large bodies can't take; beyond that, connections without progress for 1 s give way, those that hold most first, but never one whose request is being handled. What doesn't fit is refused with 429 and Retry-After, what exceeds the limit with 413, and the connection stays open for 2 s and 2 MiB so that the refusal can be read. The configuration's limits of bodies, heads and times are in force from the next call on.

Why it works: the sum of what is taken is bounded by construction, whatever the number of connections; a body that stopped does not keep what it holds.

--- a/src/nutmegworks/daemon/compose.py
+++ b/src/nutmegworks/daemon/compose.py
@@ -39,6 +39,7 @@
 from nutmegworks.limits import retries
 from nutmegworks.model import ids
 from nutmegworks.model import work
+from nutmegworks.net import budget as budgets
 from nutmegworks.net import message
 from nutmegworks.net import pool
 from nutmegworks.net import server
@@ -71,7 +72,8 @@
         self._span_writer = daemon_spans.SpanWriter(
             self._tracer, settings.telemetry_spans
         )
-        self._pool = pool.Pool()
+        self._budget = budgets.Budget(settings.limits_memory)
+        self._pool = pool.Pool(budget=self._budget)
         self._store = httpstore.HttpStore(
             settings.platform_store, connections=self._pool
         )
@@ -79,7 +81,8 @@
             settings.platform_hosts, connections=self._pool
         )
         self._control_plane = control.ControlPlane(
-            settings, self._incarnation, self._store, self._host_list
+            settings, self._incarnation, self._store, self._host_list,
+            self._budget
         )
         self._published_configuration = self._control_plane.published
         self._upstream_client = upstreams.HttpUpstreamClient(self._pool)
@@ -98,7 +101,7 @@
         )
         self._shard_runner = scheduling.ShardRunner(
             settings, self._store, self._published_configuration,
-            self._worker_directory
+            self._worker_directory, self._budget
         )
         self._claims = claim_service.ClaimService(
             self._store,
@@ -119,6 +122,7 @@
         self._caller_server = server.Server(
             self._make_router().handle,
             limits=self._server_limits(),
+            budget=self._budget,
             adjust_refusal=keyverdict.adjust_refusal,
         )
 
@@ -281,6 +285,9 @@
             self._metrics.config_sequence.set({}, sequence)
         self._metrics.shards_owned.set({}, int(self._shard_runner.owns_shard))
         self._metrics.store_calls.set({}, self._store.calls)
+        self._metrics.show_budget(
+            self._budget, self._caller_server.open_connections
+        )
         return self._metrics.render()
 
     async def run(self) -> bool:
--- a/src/nutmegworks/daemon/control.py
+++ b/src/nutmegworks/daemon/control.py
@@ -21,6 +21,7 @@
 from nutmegworks.model import ids
 from nutmegworks.model import published
 from nutmegworks.model import work
+from nutmegworks.net import budget as budgets
 from nutmegworks.net import pool
 from nutmegworks.net import server
 from nutmegworks.peers import client as peer_client
@@ -50,6 +51,7 @@
         incarnation: ids.Incarnation,
         backend: store.Store,
         host_list: hosts.HostList,
+        budget: budgets.Budget,
     ) -> None:
         self._settings = settings
         rng = random.SystemRandom()
@@ -67,7 +69,7 @@
         self.peers = peer_service.PeerService(settings.cluster_key)
         # Separate from the pool for upstreams, so that a burst of requests
         # does not close the connections between daemons.
-        self._pool = pool.Pool()
+        self._pool = pool.Pool(budget=budget)
         self.client = peer_client.PeerClient(
             settings.cluster_key, connections=self._pool
         )
@@ -81,7 +83,9 @@
         self.membership.register(self.peers)
         self.published = published.Published[work.Configuration]()
         self.configuration.holder.subscribe(self._publish)
-        self._peer_server = server.Server(self.peers.handle)
+        self._peer_server = server.Server(
+            self.peers.handle, budget=budget, internal=True
+        )
 
     async def _publish(self, adopted: adoption.AdoptedConfiguration) -> None:
         self.published.publish(adopted.configuration)
--- a/src/nutmegworks/daemon/fleetnode.py
+++ b/src/nutmegworks/daemon/fleetnode.py
@@ -1,6 +1,7 @@
 """The composition root of the daemon on the users' platform."""
 from __future__ import annotations
 
+import dataclasses
 import functools
 import os
 import pathlib
@@ -23,6 +24,7 @@
 from nutmegworks.ingress import filters
 from nutmegworks.ingress import jobs
 from nutmegworks.limits import deadline
+from nutmegworks.net import budget as budgets
 from nutmegworks.net import message
 from nutmegworks.net import pool
 from nutmegworks.net import server
@@ -32,6 +34,7 @@
 from nutmegworks.platform import settings as platform_settings
 from nutmegworks.platform import wire
 from nutmegworks.policy import task_planning
+from nutmegworks.tasks import configuration as configurations
 from nutmegworks.tasks import records
 from nutmegworks.telemetry import fleetmetrics
 
@@ -65,7 +68,10 @@
     def __init__(self, settings: platform_settings.NodeSettings) -> None:
         self._settings = settings
         self._stopping = False
-        self._pool = pool.Pool(idle_timeout=CONNECTION_IDLE_SECONDS)
+        self._budget = budgets.Budget(settings.memory)
+        self._pool = pool.Pool(
+            idle_timeout=CONNECTION_IDLE_SECONDS, budget=self._budget
+        )
         self._member_sink = membership.MemberSink(settings.member_id)
         self._metrics = fleetmetrics.FleetMetrics()
         self._store_transport = transport.Transport(
@@ -105,10 +111,20 @@
         self._leader_client = leader_client.HttpLeaderClient(
             self._membership, self._candidate, self._pool
         )
+        self._limits = server.Limits()
+        self._limits_source: configurations.Configuration | None = None
         self._filter_chain = self._make_filter_chain()
-        self._client_server = server.Server(self._handle_client)
-        self._readiness_server = server.Server(self._handle_readiness)
-        self._peer_server = server.Server(self._handle_peer)
+        self._client_server = server.Server(
+            self._handle_client,
+            limits=self._client_limits,
+            budget=self._budget,
+        )
+        self._readiness_server = server.Server(
+            self._handle_readiness, budget=self._budget, internal=True
+        )
+        self._peer_server = server.Server(
+            self._handle_peer, budget=self._budget, internal=True
+        )
 
     def _make_term(self, leadership: membership.Leadership) -> leader.Term:
         return leader.Term(
@@ -126,6 +142,14 @@
             ),
         )
 
+    def _client_limits(self) -> server.Limits:
+        """Return the limits in force, those of the configuration included."""
+        configuration = self._configuration_holder.value
+        if configuration is not self._limits_source:
+            self._limits_source = configuration
+            self._limits = _with_configuration(self._limits, configuration)
+        return self._limits
+
     def _configuration_age(self) -> float:
         return self._configuration_watcher.age()
 
@@ -194,6 +218,7 @@
             metrics.config_version.set(
                 {}, self._configuration_holder.value.version
             )
+        metrics.show_budget(self._budget, self._client_server.open_connections)
         if term is not None:
             state = term.state
             now = membership.steady_clock()
@@ -274,6 +299,22 @@
             await self._pool.close_expired()
 
 
+def _with_configuration(
+    limits: server.Limits,
+    configuration: configurations.Configuration | None,
+) -> server.Limits:
+    """Return limits with those of a configuration in place of earlier ones."""
+    if configuration is None:
+        return limits
+    return dataclasses.replace(
+        limits,
+        max_body=configuration.max_body_bytes,
+        max_header=configuration.max_header_bytes,
+        header_timeout=configuration.header_timeout,
+        idle_timeout=configuration.idle_timeout,
+    )
+
+
 def settings_path() -> str:
     """Return the path of the settings file from the environment."""
     return os.environ[platform_settings.PATH_VARIABLE]
--- a/src/nutmegworks/daemon/scheduling.py
+++ b/src/nutmegworks/daemon/scheduling.py
@@ -21,6 +21,7 @@
 from nutmegworks.model import ids
 from nutmegworks.model import published
 from nutmegworks.model import work
+from nutmegworks.net import budget as budgets
 from nutmegworks.net import pool
 from nutmegworks.policy import events
 from nutmegworks.policy import gang_placement
@@ -70,12 +71,13 @@
         backend: store.Store,
         configuration: published.Published[work.Configuration],
         worker_directory: daemon_workers.WorkerDirectory,
+        budget: budgets.Budget,
     ) -> None:
         self._domain_id = ids.DomainId(settings.daemon_domain)
         self._shard_id = ids.ShardId(settings.daemon_domain)
         self._configuration = configuration
         self._worker_directory = worker_directory
-        self._pool = pool.Pool()
+        self._pool = pool.Pool(budget=budget)
         self._job_repository = repository.JobRepository(backend)
         self._account_store = accounts.AccountStore(backend)
         self._stopping = False
--- a/src/nutmegworks/net/client.py
+++ b/src/nutmegworks/net/client.py
@@ -13,6 +13,8 @@
 import h11
 import result
 
+from nutmegworks.net import budget as budgets
+from nutmegworks.net import channel
 from nutmegworks.net import message
 
 Address = tuple[str, int]
@@ -87,8 +89,14 @@
     :ivar received_bytes: of the latest response, its head included.
     """
 
-    def __init__(self, sock: curio.io.Socket, address: Address) -> None:
+    def __init__(
+        self,
+        sock: curio.io.Socket,
+        address: Address,
+        budget: budgets.Budget,
+    ) -> None:
         self.address = address
+        self._budget = budget
         self.exchange_count = 0
         self.received_bytes = 0
         self._sock = sock
@@ -219,39 +227,42 @@
         status = 0
         headers: dict[str, str] = {}
         body = bytearray()
+        account = channel.AnswerAccount(self._budget)
         limit = None
         if stall_timeout is not None:
             limit = _TransferLimit(
                 stall_timeout,
                 time.monotonic() + MAX_TRANSFER_SECONDS
             )
-        while True:
-            event = await self._next_event(limit)
-            if isinstance(event, h11.Response):
-                status = event.status_code
-                headers = message.decode_headers(event)
-                _check_framing(status, headers)
-            elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > max_body:
-                    raise message.BodyTooLargeError(
-                        f'response body exceeds {max_body} bytes'
-                    )
-            elif isinstance(event, h11.EndOfMessage):
-                return message.Response(status, headers, bytes(body))
+        try:
+            while True:
+                event = await self._next_event(limit)
+                if isinstance(event, h11.Response):
+                    status = event.status_code
+                    headers = message.decode_headers(event)
+                    _check_framing(status, headers)
+                elif isinstance(event, h11.Data):
+                    size = len(body) + len(event.data)
+                    if size > max_body:
+                        raise message.BodyTooLargeError(
+                            f'response body exceeds {max_body} bytes'
+                        )
+                    await _within(limit, account.reserve, size)
+                    body += event.data
+                elif isinstance(event, h11.EndOfMessage):
+                    return message.Response(status, headers, bytes(body))
+        finally:
+            account.close()
 
     async def _next_event(self, limit: _TransferLimit | None) -> h11.Event:
         while True:
             event = self._http.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            if limit is None:
-                await self._receive()
-            else:
-                await curio.timeout_after(limit.seconds(), self._receive)
+            await _within(limit, self._receive)
 
     async def _receive(self) -> None:
-        data = await self._sock.recv(message.RECEIVE_BYTES)
+        data = await channel.receive_answer(self._sock, message.RECEIVE_BYTES)
         if not self.received_bytes and self._on_first_byte is not None:
             self._on_first_byte()
         self.received_bytes += len(data)
@@ -277,6 +288,18 @@
             await self._sock.close()
 
 
+async def _within(
+    limit: _TransferLimit | None,
+    step: typing.Callable[..., typing.Awaitable[None]],
+    *arguments: typing.Any,
+) -> None:
+    """Make one step of a transfer, within its limit if it has one."""
+    if limit is None:
+        await step(*arguments)
+    else:
+        await curio.timeout_after(limit.seconds(), step, *arguments)
+
+
 def _check_framing(status: int, headers: message.Headers) -> None:
     """Reject a response whose body is delimited by the end of the connection.
 
@@ -307,10 +330,12 @@
     address: Address,
     *,
     timeout: float = CONNECT_TIMEOUT_SECONDS,
+    budget: budgets.Budget | None = None,
 ) -> result.Result[Connection, ExchangeError]:
     """Open a connection with keep-alive probes.
 
     :param timeout: seconds.
+    :param budget: of the process; by default one of the connection's own.
     :return: an error of the fault ``CONNECT`` also for an address that no
         socket accepts.
     """
@@ -325,7 +350,7 @@
     except BaseException:
         await sock.close()
         raise
-    return result.Ok(Connection(sock, address))
+    return result.Ok(Connection(sock, address, budget or budgets.Budget()))
 
 
 __all__ = (
--- a/src/nutmegworks/net/pool.py
+++ b/src/nutmegworks/net/pool.py
@@ -8,6 +8,7 @@
 
 import result
 
+from nutmegworks.net import budget as budgets
 from nutmegworks.net import client
 from nutmegworks.net import message
 
@@ -22,6 +23,7 @@
     """Connections to any number of addresses, reused last in, first out.
 
     :param idle_timeout: seconds after which an idle connection is closed.
+    :param budget: of the process; by default that of the smallest machine.
     :param clock: monotonic seconds.
     """
 
@@ -29,9 +31,11 @@
         self,
         *,
         idle_timeout: float = IDLE_TIMEOUT_SECONDS,
+        budget: budgets.Budget | None = None,
         clock: typing.Callable[[], float] = time.monotonic,
     ) -> None:
         self._idle_timeout = idle_timeout
+        self._budget = budget or budgets.Budget()
         self._clock = clock
         self._idle_by_address: dict[
             client.Address,
@@ -70,6 +74,7 @@
             opened = await client.connect(
                 address,
                 timeout=min(timeout, connect_timeout),
+                budget=self._budget,
             )
             if isinstance(opened, result.Err):
                 return opened
--- a/src/nutmegworks/platform/settings.py
+++ b/src/nutmegworks/platform/settings.py
@@ -15,6 +15,12 @@
 
 # Environment variable, set by the platform, with the path of the file.
 PATH_VARIABLE: typing.Final = 'NUTMEGWORKS_BOOT'
+# Those of the smallest machines of the platform's sites.
+DEFAULT_MEMORY_MB: typing.Final = 200
+DEFAULT_MAX_DESCRIPTORS: typing.Final = 4100
+# Descriptors that the platform reserves for files.
+FILE_DESCRIPTORS: typing.Final = 200
+MIN_SOCKETS: typing.Final = 64
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,6 +57,8 @@
     :param max_value: bytes of the largest value that the store keeps.
     :param cores: processor cores available to this process.
     :param link: megabits a second of the host's network link, 0 if unknown.
+    :param memory: bytes that the process may use.
+    :param max_sockets: sockets that the process may open.
     """
 
     member_id: ids.MemberId
@@ -63,6 +71,8 @@
     max_value: int
     cores: float
     link: float
+    memory: int
+    max_sockets: int
     bounds: Bounds
 
 
@@ -82,6 +92,8 @@
     cpu_share: float = 1.0
     cores: float = 1.0
     link_mbps: float = 0.0
+    memory_mb: float = DEFAULT_MEMORY_MB
+    max_fds: int = DEFAULT_MAX_DESCRIPTORS
 
 
 class _BindAddresses(msgspec.Struct):
@@ -127,6 +139,19 @@
     return default / 1000
 
 
+def _positive(key: str, value: float, default: float) -> float:
+    """Return a limit of the machine, the default if it is not above zero."""
+    if value > 0:
+        return value
+    _LOG.warning(
+        'limit in the settings is not above zero',
+        key=f'limits.{key}',
+        value=value,
+        used=default,
+    )
+    return default
+
+
 def decode(data: bytes) -> NodeSettings:
     """Return the settings in a file.
 
@@ -145,6 +170,18 @@
         max_value=file.platform.value_bytes,
         cores=file.limits.cpu_share * file.limits.cores,
         link=file.limits.link_mbps,
+        memory=int(
+            1_000_000 *
+            _positive('memoryMb', file.limits.memory_mb, DEFAULT_MEMORY_MB)
+        ),
+        max_sockets=max(
+            MIN_SOCKETS,
+            int(
+                _positive(
+                    'maxFds', file.limits.max_fds, DEFAULT_MAX_DESCRIPTORS
+                )
+            ) - FILE_DESCRIPTORS,
+        ),
         bounds=Bounds(
             max_lease=bounds.max_hold_ms / 1000,
             stop_timeout=_bound(bounds, 'stop_timeout_ms', 'stopTimeoutMs'),
--- a/src/nutmegworks/platform/wire.py
+++ b/src/nutmegworks/platform/wire.py
@@ -175,7 +175,10 @@
 
 
 class _Limits(msgspec.Struct, rename='camel'):
-    max_body_bytes: int = 262144
+    max_body_bytes: int = 0
+    max_header_bytes: int = 0
+    header_timeout_ms: float = 0
+    idle_timeout_ms: float = 0
 
 
 class _Configuration(msgspec.Struct):
@@ -210,10 +213,21 @@
         service_ids=frozenset(
             ids.ServiceId(service.name) for service in document.services
         ),
-        max_body_bytes=document.limits.max_body_bytes,
+        **_decode_limits(document.limits),
     )
 
 
+def _decode_limits(limits: _Limits) -> dict[str, typing.Any]:
+    """Return the limits that are above zero; the others have defaults."""
+    values = {
+        'max_body_bytes': limits.max_body_bytes,
+        'max_header_bytes': limits.max_header_bytes,
+        'header_timeout': limits.header_timeout_ms / 1000,
+        'idle_timeout': limits.idle_timeout_ms / 1000,
+    }
+    return {name: value for name, value in values.items() if value > 0}
+
+
 def _decode_queue(route: _Route) -> configuration.Queue:
     return configuration.Queue(
         queue_id=configuration.QueueId(route.name),
--- a/src/nutmegworks/settings/schema.py
+++ b/src/nutmegworks/settings/schema.py
@@ -47,6 +47,7 @@
     operators_digests: tuple[str, ...]
     limits_body: int
     limits_connections: int
+    limits_memory: int
     limits_message_time: float
     limits_queue: int
     limits_deadline: float
@@ -97,6 +98,10 @@
         'limits', 'connections', values.parse_count, '1024',
         'open connections of callers'
     ),
+    Field(
+        'limits', 'memory', values.parse_bytes, '200 MiB',
+        'memory that the process may use; a quarter is for requests'
+    ),
     Field(
         'limits', 'message_time', values.parse_seconds, '10 s',
         'time for one whole request to arrive'
--- a/src/nutmegworks/tasks/configuration.py
+++ b/src/nutmegworks/tasks/configuration.py
@@ -56,6 +56,9 @@
     """One version of the configuration.
 
     :param max_body_bytes: limit of the size of a submission.
+    :param max_header_bytes: limit of the size of a call's head.
+    :param header_timeout: seconds for the head of a call to arrive.
+    :param idle_timeout: seconds for which an idle connection stays open.
     """
 
     version: int
@@ -63,6 +66,9 @@
     teams_by_id: typing.Mapping[ids.TeamId, Team]
     service_ids: frozenset[ids.ServiceId]
     max_body_bytes: int = 1024 * 1024
+    max_header_bytes: int = 16 * 1024
+    header_timeout: float = 10.0
+    idle_timeout: float = 30.0
 
     def route(self, host: str, path: str) -> Queue | None:
         """Return the queue of the host whose prefix of the path is longest.
--- a/src/nutmegworks/telemetry/fleetmetrics.py
+++ b/src/nutmegworks/telemetry/fleetmetrics.py
@@ -6,6 +6,7 @@
 import aioprometheus
 from aioprometheus.formats import text
 
+from nutmegworks.net import budget as budgets
 from nutmegworks.net import message
 from nutmegworks.telemetry import metrics
 
@@ -74,6 +75,7 @@
             'nutmeg_config_age_seconds',
             'Seconds since the configuration was last read in the store.',
         )
+        self._intake = metrics.IntakeMetrics(self.registry)
 
     def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
         return aioprometheus.Counter(name, doc, registry=self.registry)
@@ -91,6 +93,10 @@
             name, doc, buckets=list(buckets), registry=self.registry
         )
 
+    def show_budget(self, budget: budgets.Budget, connections: int) -> None:
+        """Update the metrics of what clients' connections hold."""
+        self._intake.show(budget, connections)
+
     def render(self) -> message.Response:
         """Return the metrics in the Prometheus text format."""
         return message.Response(
--- a/src/nutmegworks/telemetry/metrics.py
+++ b/src/nutmegworks/telemetry/metrics.py
@@ -6,6 +6,7 @@
 import aioprometheus
 from aioprometheus.formats import text
 
+from nutmegworks.net import budget as budgets
 from nutmegworks.net import message
 
 # Bucket bounds of the latency histogram, in seconds.
@@ -15,6 +16,41 @@
 )
 
 
+class IntakeMetrics:
+    """Metrics of the memory and the connections of clients."""
+
+    def __init__(self, registry: aioprometheus.Registry) -> None:
+        self._gauge_by_name = {
+            name: aioprometheus.Gauge(name, doc, registry=registry)
+            for name, doc in (
+                ('nutmeg_intake_bytes_held', 'Bytes taken from the budget.'),
+                (
+                    'nutmeg_intake_bytes_peak',
+                    'Most bytes taken from the budget since the start.',
+                ),
+                ('nutmeg_intake_bytes_budget', 'Bytes of the budget.'),
+                ('nutmeg_client_connections', 'Open clients\' connections.'),
+                (
+                    'nutmeg_client_losses_total',
+                    'Refused requests and closed connections by reason.',
+                ),
+            )
+        }
+
+    def show(self, budget: budgets.Budget, connections: int) -> None:
+        """Set all metrics to their present values."""
+        for name, value in (
+            ('nutmeg_intake_bytes_held', budget.held),
+            ('nutmeg_intake_bytes_peak', budget.peak),
+            ('nutmeg_intake_bytes_budget', budget.total),
+            ('nutmeg_client_connections', connections),
+        ):
+            self._gauge_by_name[name].set({}, value)
+        losses = self._gauge_by_name['nutmeg_client_losses_total']
+        for loss, count in budget.losses.items():
+            losses.set({'reason': loss.value}, count)
+
+
 class Metrics:
     """All metrics of one daemon, in their own registry."""
 
@@ -47,6 +83,7 @@
         self.shards_owned = self._gauge(
             'nutmeg_shards_owned', 'Scheduling shards this daemon owns.'
         )
+        self._intake = IntakeMetrics(self.registry)
 
     def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
         return aioprometheus.Counter(name, doc, registry=self.registry)
@@ -54,6 +91,10 @@
     def _gauge(self, name: str, doc: str) -> aioprometheus.Gauge:
         return aioprometheus.Gauge(name, doc, registry=self.registry)
 
+    def show_budget(self, budget: budgets.Budget, connections: int) -> None:
+        """Update the metrics of what callers' connections hold."""
+        self._intake.show(budget, connections)
+
     def render(self) -> message.Response:
         """Return the metrics in the Prometheus text format."""
         body = text.TextFormatter().marshall(self.registry)
@@ -61,4 +102,4 @@
         return message.Response(200, headers, body)
 
 
-__all__ = ('LATENCY_BUCKETS', 'Metrics')
+__all__ = ('IntakeMetrics', 'LATENCY_BUCKETS', 'Metrics')
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -229,8 +229,10 @@
                 '[platform]', f'store = {extra.get("store", self.store)}',
                 f'hosts = {self.hosts}', '[cluster]', f'key = {"00" * 16}',
                 '[operators]', f'digests = {digest}', '[stop]',
-                f'grace = {extra.get("grace", "500 ms")}', '[telemetry]',
-                f'spans = {self.directory / "spans"}', ''
+                f'grace = {extra.get("grace", "500 ms")}',
+                f'limit = {extra.get("limit", "70 s")}', '[limits]',
+                f'connections = {extra.get("connections", "1024")}',
+                '[telemetry]', f'spans = {self.directory / "spans"}', ''
             )
         )
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -7,11 +7,13 @@
 
 import curio
 
+from nutmegworks.net import budget as budgets
 from nutmegworks.net import client
 from nutmegworks.net import server
 
 RUN_TIMEOUT_SECONDS: typing.Final = 60.0
 LAG_INTERVAL_SECONDS: typing.Final = 0.05
+STAND_IN_BYTES: typing.Final = 4 * 1024 * budgets.MEBIBYTE
 
 
 @contextlib.asynccontextmanager
@@ -29,6 +31,13 @@
         await service.drain(limit=0.0)
 
 
+def stand_in_server(handler: server.Handler) -> server.Server:
+    """Return a server of a stand-in, which has memory for any crowd."""
+    return server.Server(
+        handler, budget=budgets.Budget(STAND_IN_BYTES), internal=True
+    )
+
+
 def run(main: typing.Callable[[], typing.Awaitable[None]]) -> None:
     """Run a test's coroutine with a time limit."""
 
@@ -55,4 +64,4 @@
             self.worst = max(self.worst, time.monotonic() - due)
 
 
-__all__ = ('LagMeter', 'run', 'serving')
+__all__ = ('LagMeter', 'run', 'serving', 'stand_in_server')
--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -25,6 +25,8 @@
 GANG_TIMEOUT_SECONDS: typing.Final = 3.0
 MAX_LEASE_SECONDS: typing.Final = 10.0
 TICK_SECONDS: typing.Final = 0.02
+MAX_PAGE_ITEMS: typing.Final = 500
+MAX_PAGE_BYTES: typing.Final = 1_000_000
 
 
 def _respond(status: int, value: object) -> message.Response:
@@ -41,6 +43,18 @@
     }
 
 
+def _first_page(
+    items: typing.Sequence[interfaces.Item]
+) -> typing.Sequence[interfaces.Item]:
+    """Return the items that fit a page of the platform's listings."""
+    size = 0
+    for number, item in enumerate(items[:MAX_PAGE_ITEMS]):
+        size += len(item.value)
+        if size > MAX_PAGE_BYTES and number:
+            return items[:number]
+    return items[:MAX_PAGE_ITEMS]
+
+
 class StoreStandIn:
     """Serves a store in memory.
 
@@ -96,12 +110,17 @@
 
     async def _list(self, fields: dict[str, str]) -> message.Response:
         listed = (await self.store.list(fields['prefix'])).ok_value
-        items = sorted(listed.items, key=lambda item: item.key)
+        after = fields.get('after', '')
+        items = sorted(
+            (item for item in listed.items if item.key > after),
+            key=lambda item: item.key,
+        )
+        page = _first_page(items)
         return _respond(
             200,
             {
-                'items': [_encode_item(item) for item in items],
-                'truncated': False,
+                'items': [_encode_item(item) for item in page],
+                'truncated': len(page) < len(items),
                 'asOf': listed.revision,
             },
         )
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -133,13 +133,17 @@
 
 
 class Daemon:
-    """One daemon process and its relay to the store."""
+    """One daemon process and its relay to the store.
+
+    :ivar limits: of its machine, as in its settings.
+    """
 
     def __init__(self, name: str, directory: pathlib.Path) -> None:
         self.name = name
         self.front_address = (HOST, free_port())
         self.exit_codes: list[int] = []
         self.stopping = False
+        self.limits: dict[str, int] = {}
         self._ready = (HOST, free_port())
         self._peers = free_port()
         self._directory = directory
@@ -165,6 +169,7 @@
                 'ready': f'{HOST}:{self._ready[1]}',
             },
             'internalPorts': [self._peers, self._peers],
+            'limits': self.limits,
             'platform': {
                 'address': f'{HOST}:{self._store[1]}',
                 'minTtlMs': 1000,
