net: the work that one connection causes in one turn is bounded

Callers saw: no answer for as long as the crowd was there, and for an ordinary job not within 30 s after it had left; the daemon also leads and renews its membership on that thread.

Cause: 64 KiB of chunks of one byte are some 10,000 parts, decoded without giving way, on each of many connections in turn. Requests that arrive together on a connection and bursts of new connections did not give way either.

Change: after 128 parts a body is decoded 128 parts at a time by one connection at a time, with a pause of 1 ms; the framing of a body may take eight times its content and 64 KiB (a chunk of one byte takes six times); accepting and pipelined requests let other tasks run.

Why it works: all such bodies together get a bounded part of the thread, in turns of 128 parts, whatever their number; other requests run between the turns.

--- a/src/nutmegworks/net/budget.py
+++ b/src/nutmegworks/net/budget.py
@@ -114,6 +114,8 @@
     :ivar held: bytes that are held.
     :ivar peak: most bytes that were held.
     :ivar losses: refused requests and closed connections by reason.
+    :ivar framing_lane: held by the one connection that decodes a body of many
+        parts; without it such bodies would take turns with all other work.
     """
 
     def __init__(
@@ -127,6 +129,7 @@
         self.held = 0
         self.peak = 0
         self.losses: collections.Counter[Loss] = collections.Counter()
+        self.framing_lane = curio.Lock()
         self._holder_ids = itertools.count()
         self._holder_by_id: dict[intake.HolderId, Holder] = {}
         self._waiting: collections.deque[object] = collections.deque()
--- a/src/nutmegworks/net/server.py
+++ b/src/nutmegworks/net/server.py
@@ -41,6 +41,16 @@
 MAX_LINGERING: typing.Final = 128
 LINGER_SECONDS: typing.Final = 2.0
 LINGER_BYTES: typing.Final = 2 * 1024 * 1024
+# Connections that are accepted before other tasks run.
+ACCEPTS_PER_TURN: typing.Final = 16
+# Parts of a body that are decoded before other tasks run.
+PARTS_PER_TURN: typing.Final = 128
+# Pause after each turn of a body of more parts than one turn decodes.
+FRAMING_PAUSE_SECONDS: typing.Final = 0.001
+# Bytes on the wire for each byte of the body, and beside that: a chunk of one
+# byte takes six.
+MAX_FRAMING_RATIO: typing.Final = 8
+FRAMING_ALLOWANCE_BYTES: typing.Final = 64 * 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -182,6 +192,7 @@
 
     async def _accept(self) -> None:
         assert self._listener is not None
+        accepted = 0
         while True:
             try:
                 sock, _ = await self._listener.accept()
@@ -190,6 +201,9 @@
                 await curio.sleep(0.1)
                 continue
             await curio.spawn(self._serve, sock, daemon=True)
+            accepted += 1
+            if accepted % ACCEPTS_PER_TURN == 0:
+                await curio.sleep(0)
 
     def _admits_connection(self) -> bool:
         """Return whether there is room for the connection just opened."""
@@ -296,6 +310,8 @@
         self._limits = self._server._limits()
         if self._http.trailing_data[0]:
             channel.enter(intake.Phase.RECEIVING)
+            # Requests that arrive together must not keep others waiting.
+            await curio.sleep(0)
             return True
         channel.enter(intake.Phase.IDLE)
         idle = self._limits.idle_timeout
@@ -373,11 +389,38 @@
             raise _no_memory()
 
     async def _read_body(self) -> bool:
-        """Read the body; return False if the connection was closed."""
-        while True:
+        """Read the body; return False if the connection was closed.
+
+        A body of many parts is decoded in turns, one connection at a time.
+        """
+        for part in range(PARTS_PER_TURN):
             event = await self._next_body_event()
             if event is not None:
                 return isinstance(event, h11.EndOfMessage)
+        lane = self._server._budget.framing_lane
+        while True:
+            if self._http.trailing_data[0]:
+                async with lane:
+                    event = self._decode_turn()
+                    await curio.sleep(FRAMING_PAUSE_SECONDS)
+            else:
+                event = await self._next_body_event()
+            if event is not None:
+                return isinstance(event, h11.EndOfMessage)
+
+    def _decode_turn(self) -> h11.Event | None:
+        """Decode parts of the body that were received.
+
+        :return: the event that ends it, if that is among them.
+        """
+        for part in range(PARTS_PER_TURN):
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                return None
+            if not isinstance(event, h11.Data):
+                return event
+            self._append(event)
+        return None
 
     async def _next_body_event(self) -> h11.Event | None:
         """Receive bytes if needed, and decode one part of the body.
@@ -388,6 +431,7 @@
         while event is h11.NEED_DATA:
             await self._send_continue()
             self._http.receive_data(await self._receive())
+            self._check_framing()
             event = self._http.next_event()
         if not isinstance(event, h11.Data):
             return event
@@ -401,6 +445,16 @@
         if not channel.append_body(event.data):
             raise _no_memory()
 
+    def _check_framing(self) -> None:
+        channel = self._channel
+        allowed = MAX_FRAMING_RATIO * channel.body_size
+        if channel.received > allowed + FRAMING_ALLOWANCE_BYTES:
+            raise _RefusedError(
+                verdict.Reason.BAD_REQUEST,
+                'the framing of the body exceeds its content',
+                budgets.Loss.FRAMING,
+            )
+
     def _too_large(self) -> _RefusedError:
         return _RefusedError(
             verdict.Reason.TOO_LARGE,
--- a/tests/crowds/test_fleet.py
+++ b/tests/crowds/test_fleet.py
@@ -26,10 +26,12 @@
 # Shape, number of clients, and the hosts that they connect to.
 BODY_CASES: typing.Final = [
     ('unfinished', 1000, 'leader'),
+    ('small-chunks', 1000, 'follower'),
     *cases.by_hand(
         ('unfinished-large', 300, 'follower'),
         ('large-chunks', 900, 'all'),
         ('announced', 300, 'leader'),
+        ('small-chunks', 1000, 'leader'),
         ('trickle', 1000, 'follower'),
     ),
 ]
--- a/tests/crowds/test_nutmegd.py
+++ b/tests/crowds/test_nutmegd.py
@@ -64,6 +64,7 @@
             ('unfinished', 900),
             ('large-chunks', 300),
             ('announced', 300),
+            ('small-chunks', 1000),
             ('trickle', 900),
         ),
     ],
