net, daemon: connections and calls have limits that the machine sets

Callers saw: 429 for as long as others kept all connections open. Operators saw more descriptors in use than the machine grants.

Cause: 1,024 connections whatever the machine's descriptors; an idle one kept its place for 30 s. Any number of calls in progress, each of which may open three more connections to the store, its own and two of peers.

Change: clients get a third of the machine's sockets (1,024 at most) and an eighth for calls in progress. For a new connection the one that made no progress for longest is closed; while all are in use, each answer ends its connection, so that callers take turns.

--- a/src/nutmegworks/daemon/fleetnode.py
+++ b/src/nutmegworks/daemon/fleetnode.py
@@ -56,6 +56,11 @@
 # For calls without a readable deadline header.
 DEFAULT_TIMEOUT_SECONDS: typing.Final = 3.0
 METRICS_PATH: typing.Final = '/metrics'
+MAX_CONNECTIONS: typing.Final = 1024
+# Shares of the sockets for clients' connections and for their calls in
+# progress, each of which may use three routes to the store at a time.
+CLIENT_SOCKET_SHARE: typing.Final = 1 / 3
+IN_FLIGHT_SHARE: typing.Final = 1 / 8
 # The configuration and the leader change rarely, and each watch that returns
 # costs a call.
 CONTROL_PAUSE_SECONDS: typing.Final = 0.02
@@ -111,7 +116,7 @@
         self._leader_client = leader_client.HttpLeaderClient(
             self._membership, self._candidate, self._pool
         )
-        self._limits = server.Limits()
+        self._limits = _machine_limits(settings.max_sockets)
         self._limits_source: configurations.Configuration | None = None
         self._filter_chain = self._make_filter_chain()
         self._client_server = server.Server(
@@ -299,6 +304,16 @@
             await self._pool.close_expired()
 
 
+def _machine_limits(max_sockets: int) -> server.Limits:
+    """Return the limits of clients that the machine sets."""
+    return server.Limits(
+        max_connections=min(
+            MAX_CONNECTIONS, int(max_sockets * CLIENT_SOCKET_SHARE)
+        ),
+        max_in_flight=int(max_sockets * IN_FLIGHT_SHARE),
+    )
+
+
 def _with_configuration(
     limits: server.Limits,
     configuration: configurations.Configuration | None,
--- a/src/nutmegworks/net/budget.py
+++ b/src/nutmegworks/net/budget.py
@@ -35,6 +35,7 @@
     TOO_LARGE = 'too-large'
     NO_MEMORY = 'no-memory'
     NO_CONNECTION = 'no-connection'
+    IN_FLIGHT = 'in-flight'
     FRAMING = 'framing'
     LATE = 'late'
     GAVE_WAY = 'gave-way'
@@ -168,6 +169,20 @@
             self._close(holder_id)
         return True
 
+    def make_connection_room(self) -> bool:
+        """Close the connection that made no progress for longest.
+
+        :return: False if all make progress.
+        """
+        if self.clock() < self._next_choice_at:
+            return False
+        chosen = intake.choose_for_connection(self._view())
+        if chosen is None:
+            self._defer_next_choice()
+            return False
+        self._close(chosen)
+        return True
+
     def _view(self) -> list[intake.Holder]:
         now = self.clock()
         return [
--- a/src/nutmegworks/net/server.py
+++ b/src/nutmegworks/net/server.py
@@ -58,6 +58,8 @@
     """Limits of a server.
 
     :param max_connections: open connections; further ones are refused.
+    :param max_in_flight: requests that are handled at a time; further ones
+        are refused.
     :param max_body: bytes of a request body.
     :param max_header: bytes of a request's head.
     :param header_timeout: seconds for the head of a request to arrive.
@@ -67,6 +69,7 @@
     """
 
     max_connections: int = 1024
+    max_in_flight: int = 1024
     max_body: int = message.MAX_BODY_BYTES
     max_header: int = message.MAX_HEADER_BYTES
     header_timeout: float = 10.0
@@ -205,9 +208,21 @@
             if accepted % ACCEPTS_PER_TURN == 0:
                 await curio.sleep(0)
 
+    def _closes_after_answers(self) -> bool:
+        """Return whether connections end with the answer they wait for.
+
+        While all connections are in use, callers take turns.
+        """
+        if self._state is _State.DRAINING:
+            return True
+        used = self._open - self._lingering
+        return not self._internal and used >= self._limits().max_connections
+
     def _admits_connection(self) -> bool:
         """Return whether there is room for the connection just opened."""
-        return self._open - self._lingering <= self._limits().max_connections
+        if self._open - self._lingering <= self._limits().max_connections:
+            return True
+        return not self._internal and self._budget.make_connection_room()
 
     async def _serve(self, sock: curio.io.Socket) -> None:
         self._open += 1
@@ -469,6 +484,8 @@
 
     async def _answer(self, request: message.Request) -> bool:
         channel = self._channel
+        if self._server._in_flight >= self._limits.max_in_flight:
+            return await self._answer_overloaded()
         channel.enter(intake.Phase.HANDLING)
         self._server._in_flight += 1
         try:
@@ -488,6 +505,19 @@
         states = (self._http.our_state, self._http.their_state)
         return states == (h11.DONE, h11.DONE)
 
+    async def _answer_overloaded(self) -> bool:
+        """Refuse a whole request; the connection stays open."""
+        budget = self._server._budget
+        budget.lose(budgets.Loss.IN_FLIGHT)
+        refusal = verdict.did_not_run(
+            verdict.Reason.OVERLOADED,
+            'too many requests in progress',
+            retry_after=_RETRY_AFTER_BY_REASON[verdict.Reason.OVERLOADED],
+        )
+        self._channel.end_request()
+        await self._write(refusal_response(self._adjust(refusal)))
+        return self._may_go_on()
+
     def _adjust(self, refusal: verdict.Refusal) -> verdict.Refusal:
         if self._server._adjust_refusal is None:
             return refusal
@@ -529,7 +559,7 @@
         send_body: bool = True,
     ) -> None:
         headers = dict(response.headers)
-        if close or self._server._state is _State.DRAINING:
+        if close or self._server._closes_after_answers():
             headers['connection'] = 'close'
         http = self._http
         data = http.send(
--- a/tests/crowds/test_fleet.py
+++ b/tests/crowds/test_fleet.py
@@ -22,6 +22,8 @@
 # Of the smallest machine of the platform's sites.
 MEMORY_MB: typing.Final = 200
 MAX_DESCRIPTORS: typing.Final = 4100
+# Lowered, so that a small crowd reaches it.
+FEW_DESCRIPTORS: typing.Final = 800
 
 # Shape, number of clients, and the hosts that they connect to.
 BODY_CASES: typing.Final = [
@@ -35,6 +37,14 @@
         ('trickle', 1000, 'follower'),
     ),
 ]
+CONNECTION_CASES: typing.Final = [
+    ('unread', 1000, 'leader'),
+    *cases.by_hand(
+        ('idle', 1100, 'leader'),
+        ('endless-head', 1100, 'follower'),
+        ('unread', 1000, 'follower'),
+    ),
+]
 
 
 def _check_usage(fleet: fleets.Fleet, max_descriptors: int) -> None:
@@ -73,6 +83,14 @@
     _resist(tmp_path, shape, count, place)
 
 
+@pytest.mark.parametrize(('shape', 'count', 'place'), CONNECTION_CASES)
+def test_connections(
+    tmp_path: pathlib.Path, shape: str, count: int, place: str
+) -> None:
+    """Connections must leave descriptors for the store and other callers."""
+    _resist(tmp_path, shape, count, place, FEW_DESCRIPTORS)
+
+
 @pytest.mark.parametrize('shape', ['unfinished-large'])
 def test_start_beside_a_crowd(tmp_path: pathlib.Path, shape: str) -> None:
     """A daemon must start while clients connect to it already."""
--- a/tests/crowds/test_nutmegd.py
+++ b/tests/crowds/test_nutmegd.py
@@ -19,6 +19,8 @@
 # Of a machine with the default of its settings.
 MEMORY_BYTES: typing.Final = 200 * 1024 * 1024
 MAX_DESCRIPTORS: typing.Final = 4100
+# Lowered, so that a small crowd reaches it.
+FEW_CONNECTIONS: typing.Final = 100
 
 PATH: typing.Final = '/v1/services/round-planner/requests'
 HEADERS: typing.Final = {
@@ -72,3 +74,11 @@
 def test_bodies(tmp_path: pathlib.Path, shape: str, count: int) -> None:
     """Bodies and answers must not use more memory than the machine has."""
     _resist(tmp_path, shape, count)
+
+
+@pytest.mark.parametrize(
+    'shape', ['idle', *cases.by_hand('endless-head', 'unread')]
+)
+def test_connections(tmp_path: pathlib.Path, shape: str) -> None:
+    """A crowd that keeps all connections must not lock out other callers."""
+    _resist(tmp_path, shape, 300, connections=str(FEW_CONNECTIONS))
--- a/tests/net/test_budget.py
+++ b/tests/net/test_budget.py
@@ -23,6 +23,7 @@
 LIMITS = server.Limits(
     max_body=100_000, request_timeout=0.5, write_timeout=0.5, idle_timeout=1.0
 )
+GET = b'GET / HTTP/1.1\r\nhost: a\r\n\r\n'
 HEAD = b'POST / HTTP/1.1\r\nhost: a\r\n'
 
 
@@ -227,6 +228,27 @@
     helpers.run(main)
 
 
+def test_callers_take_turns_when_all_connections_are_in_use() -> None:
+    """Guards against connections that go on asking and lock others out."""
+
+    async def main() -> None:
+        limits = server.Limits(max_connections=2)
+        async with helpers.serving(_echo, limits=limits) as address:
+            first = await _open(address, GET)
+            answer = await first.recv(65536)
+            assert b'connection: close' not in answer
+            second = await _open(address, GET * 50)
+            answer = b''
+            while data := await second.recv(65536):
+                answer += data
+            assert b'connection: close' in answer
+            assert answer.count(b'HTTP/1.1 200') == 1
+            await first.close()
+            await second.close()
+
+    helpers.run(main)
+
+
 @pytest.mark.parametrize('size', [100, 100_000])
 def test_answers_give_back_what_they_took(size: int) -> None:
     """Guards against answers of upstreams and of the store beside it."""
