net: a server that drains closes connections without progress

Callers saw: connections that were cut when the grace of a stopping daemon had passed. Operators saw exit code 1.

Cause: a body that stopped short of its end held the drain for up to 10 s, the time in which a request has to arrive; the grace leaves 2 s for it.

Change: while a server drains, connections without progress for 1 s are closed; those whose request is being handled are not.

--- a/src/nutmegworks/net/budget.py
+++ b/src/nutmegworks/net/budget.py
@@ -183,6 +183,12 @@
         self._close(chosen)
         return True
 
+    def close_stalled(self) -> None:
+        """Close all connections without progress."""
+        for holder in self._view():
+            if intake.may_give_way(holder):
+                self._close(holder.holder_id)
+
     def _view(self) -> list[intake.Holder]:
         now = self.clock()
         return [
--- a/src/nutmegworks/net/server.py
+++ b/src/nutmegworks/net/server.py
@@ -189,6 +189,8 @@
             await self._listener.close()
         waited = 0.0
         while self._open and waited < limit:
+            if not self._internal:
+                self._budget.close_stalled()
             await curio.sleep(DRAIN_POLL_SECONDS)
             waited += DRAIN_POLL_SECONDS
         return self._open == 0
--- a/tests/crowds/test_fleet.py
+++ b/tests/crowds/test_fleet.py
@@ -91,6 +91,18 @@
     _resist(tmp_path, shape, count, place, FEW_DESCRIPTORS)
 
 
+@pytest.mark.parametrize('shape', ['unfinished', 'unread'])
+def test_stop_beside_a_crowd(tmp_path: pathlib.Path, shape: str) -> None:
+    """A daemon that stops must end within its grace whatever clients do."""
+    with fleets.fleet(tmp_path, max_descriptors=MAX_DESCRIPTORS,
+                      memory_mb=MEMORY_MB) as fleet:
+        name = fleet.follower()
+        with fleet.crowd(shape, 300, [name]) as wait:
+            wait()
+            assert fleet.end_daemon(name, signal.SIGTERM) == 0
+        assert fleet.answers_ordinary_request(fleet.leader() or '')
+
+
 @pytest.mark.parametrize('shape', ['unfinished-large'])
 def test_start_beside_a_crowd(tmp_path: pathlib.Path, shape: str) -> None:
     """A daemon must start while clients connect to it already."""
--- a/tests/crowds/test_nutmegd.py
+++ b/tests/crowds/test_nutmegd.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import pathlib
+import signal
 import typing
 
 import pytest
@@ -82,3 +83,18 @@
 def test_connections(tmp_path: pathlib.Path, shape: str) -> None:
     """A crowd that keeps all connections must not lock out other callers."""
     _resist(tmp_path, shape, 300, connections=str(FEW_CONNECTIONS))
+
+
+@pytest.mark.parametrize('shape', ['unfinished'])
+def test_stop_beside_a_crowd(tmp_path: pathlib.Path, shape: str) -> None:
+    """A daemon that stops must end within its limit whatever clients do."""
+    with processes.cluster(tmp_path) as cluster:
+        cluster.add_upstream('u1')
+        address = cluster.add_daemon('n1', ready=False, limit='3 s')
+        cluster.configure_default()
+        with site.crowd(shape, 200, PATH, 'nutmegd', processes.TEAM_TOKEN,
+                        [address]) as wait:
+            wait()
+            process = cluster.daemon_by_address[address]
+            process.send_signal(signal.SIGTERM)
+            assert process.wait(site.CROWD_SECONDS) == 0
