ingress, platform: large submissions are stored without padding

Callers saw: `could not be stored`, and a host that ran out of memory; the store had to keep and to send what no reader uses.

Cause: what was stored of a job was the body as received, padding and unknown fields included, and each leader reads every stored job.

Change: a submission above 16 KiB is stored without padding, unknown fields and defaults; smaller ones as received, so that a later version finds in them what this one does not know.

--- a/src/nutmegworks/fleet/interfaces.py
+++ b/src/nutmegworks/fleet/interfaces.py
@@ -284,6 +284,13 @@
         :raise ValueError: it is not valid.
         """
 
+    @abc.abstractmethod
+    def compact_submission(self, data: bytes) -> bytes:
+        """Return a job submission without what ``submission`` ignores.
+
+        :raise ValueError: it is not valid.
+        """
+
 
 __all__ = (
     'ABSENT',
--- a/src/nutmegworks/ingress/jobs.py
+++ b/src/nutmegworks/ingress/jobs.py
@@ -46,6 +46,9 @@
 MAX_COUNT_AGE_SECONDS: typing.Final = 2.0
 # Limit of the age of a state that may have changed since.
 MAX_STATE_AGE_SECONDS: typing.Final = 2.0
+# Larger submissions are stored without padding and unknown fields, because the
+# leader and each later one reads every stored job.
+MAX_STORED_AS_RECEIVED_BYTES: typing.Final = 16 * 1024
 
 
 class _KnownState(typing.NamedTuple):
@@ -130,8 +133,11 @@
         job_id = ids.JobId(call.job_name)
         queue = call.queue
         assert queue is not None
+        body = call.request.body
         try:
-            self._decoder.submission(call.request.body)
+            self._decoder.submission(body)
+            if len(body) > MAX_STORED_AS_RECEIVED_BYTES:
+                body = self._decoder.compact_submission(body)
         except ValueError as error:
             return calls.refuse(400, str(error))
         accepted = records.AcceptedJob(
@@ -143,7 +149,7 @@
             stretch=queue.stretch,
             target=queue.target,
             accepted_at=time.time(),
-            body=call.request.body,
+            body=body,
         )
         asked_at = self._clock()
         outcome = await self._create(
--- a/src/nutmegworks/platform/settings.py
+++ b/src/nutmegworks/platform/settings.py
@@ -93,7 +93,7 @@
     cores: float = 1.0
     link_mbps: float = 0.0
     memory_mb: float = DEFAULT_MEMORY_MB
-    max_fds: int = DEFAULT_MAX_DESCRIPTORS
+    max_fds: float = DEFAULT_MAX_DESCRIPTORS
 
 
 class _BindAddresses(msgspec.Struct):
--- a/src/nutmegworks/platform/wire.py
+++ b/src/nutmegworks/platform/wire.py
@@ -52,7 +52,7 @@
 _WORKER_ID: typing.Final = re.compile('[!-~]+')
 
 
-class _Step(msgspec.Struct, rename='camel'):
+class _Step(msgspec.Struct, rename='camel', omit_defaults=True):
     count: int
     cpu: _Cpu = 0
     mem_mb: _Memory = 0
@@ -71,7 +71,7 @@
     may_miss: documents.Count = 0
 
 
-class _Job(msgspec.Struct, rename='camel'):
+class _Job(msgspec.Struct, rename='camel', omit_defaults=True):
     steps: list[_Step]
     spec: str = ''
     repeat_count: documents.Count = 0
@@ -104,6 +104,14 @@
     )
 
 
+def compact_submission(data: bytes) -> bytes:
+    """Return a submission without padding, unknown fields and defaults.
+
+    :raise ValueError: unreadable.
+    """
+    return msgspec.json.encode(documents.decode(data, _Job))
+
+
 def _check_size(job: _Job) -> None:
     tasks = sum(step.count for step in job.steps)
     if tasks > MAX_TASKS_OF_AN_OCCURRENCE:
@@ -316,6 +324,9 @@
     def submission(self, data: bytes) -> spec.Submission:
         return decode_submission(data)
 
+    def compact_submission(self, data: bytes) -> bytes:
+        return compact_submission(data)
+
 
 __all__ = (
     'CONFIGURATION_KEY',
@@ -323,6 +334,7 @@
     'OPERATORS_PREFIX',
     'PlatformDecoder',
     'WORKERS_PREFIX',
+    'compact_submission',
     'decode_configuration',
     'decode_submission',
     'decode_worker',
--- a/tests/crowds/test_fleet.py
+++ b/tests/crowds/test_fleet.py
@@ -29,12 +29,15 @@
 BODY_CASES: typing.Final = [
     ('unfinished', 1000, 'leader'),
     ('small-chunks', 1000, 'follower'),
+    ('whole', 300, 'follower'),
+    ('mixed', 3600, 'all'),
     *cases.by_hand(
         ('unfinished-large', 300, 'follower'),
         ('large-chunks', 900, 'all'),
         ('announced', 300, 'leader'),
         ('small-chunks', 1000, 'leader'),
         ('trickle', 1000, 'follower'),
+        ('whole', 300, 'leader'),
     ),
 ]
 CONNECTION_CASES: typing.Final = [
@@ -91,7 +94,23 @@
     _resist(tmp_path, shape, count, place, FEW_DESCRIPTORS)
 
 
-@pytest.mark.parametrize('shape', ['unfinished', 'unread'])
+def test_whole_bodies_while_the_store_is_down(tmp_path: pathlib.Path) -> None:
+    """Submissions that wait for the store must not fill the memory."""
+    with fleets.fleet(tmp_path, max_descriptors=MAX_DESCRIPTORS,
+                      memory_mb=MEMORY_MB) as fleet:
+        name = fleet.follower()
+        fleet.set_store_down(True)
+        with fleet.crowd('whole', 1000, [name]) as wait:
+            wait()
+            fleet.set_store_down(False)
+            assert fleet.answers_ordinary_request(name)
+        assert fleet.answers_ordinary_request(name)
+        _check_usage(fleet, MAX_DESCRIPTORS)
+
+
+@pytest.mark.parametrize(
+    'shape', ['mixed', *cases.by_hand('unfinished', 'unread')]
+)
 def test_stop_beside_a_crowd(tmp_path: pathlib.Path, shape: str) -> None:
     """A daemon that stops must end within its grace whatever clients do."""
     with fleets.fleet(tmp_path, max_descriptors=MAX_DESCRIPTORS,
@@ -103,7 +122,9 @@
         assert fleet.answers_ordinary_request(fleet.leader() or '')
 
 
-@pytest.mark.parametrize('shape', ['unfinished-large'])
+@pytest.mark.parametrize(
+    'shape', ['mixed', *cases.by_hand('unfinished-large')]
+)
 def test_start_beside_a_crowd(tmp_path: pathlib.Path, shape: str) -> None:
     """A daemon must start while clients connect to it already."""
     with fleets.fleet(tmp_path, max_descriptors=MAX_DESCRIPTORS,
--- a/tests/crowds/test_nutmegd.py
+++ b/tests/crowds/test_nutmegd.py
@@ -69,6 +69,7 @@
             ('announced', 300),
             ('small-chunks', 1000),
             ('trickle', 900),
+            ('mixed', 1200),
         ),
     ],
 )
@@ -85,7 +86,7 @@
     _resist(tmp_path, shape, 300, connections=str(FEW_CONNECTIONS))
 
 
-@pytest.mark.parametrize('shape', ['unfinished'])
+@pytest.mark.parametrize('shape', ['mixed', *cases.by_hand('unfinished')])
 def test_stop_beside_a_crowd(tmp_path: pathlib.Path, shape: str) -> None:
     """A daemon that stops must end within its limit whatever clients do."""
     with processes.cluster(tmp_path) as cluster:
--- a/tests/daemon/test_fleetnode.py
+++ b/tests/daemon/test_fleetnode.py
@@ -1,6 +1,8 @@
 """Parts of the platform's daemon as they are wired."""
 from __future__ import annotations
 
+import dataclasses
+
 import msgspec
 import pytest
 
@@ -22,3 +24,18 @@
     assert not node._configuration_holder.may_be_outdated()
     clock.skipped = configuration_holder.MAX_AGE_SECONDS + 0.1
     assert node._configuration_holder.may_be_outdated()
+
+
+def test_limits_of_the_configuration_are_in_force_at_once() -> None:
+    """Guards against clients' limits that change only with a restart."""
+    node = fleetnode.FleetNode(
+        settings.decode(msgspec.json.encode(test_wire.settings_document()))
+    )
+    assert node._client_limits().max_body == 1024 * 1024
+    for size in (1000, 2000):
+        node._configuration_holder.value = dataclasses.replace(
+            test_wire._configuration(), max_body_bytes=size, idle_timeout=7.0
+        )
+        limits = node._client_limits()
+        assert (limits.max_body, limits.idle_timeout) == (size, 7.0)
+        assert limits.max_connections == 1024
--- a/tests/ingress/test_jobs.py
+++ b/tests/ingress/test_jobs.py
@@ -4,8 +4,11 @@
 import time
 
 import msgspec
+import pytest
 
 from nutmegworks.fleet import configuration_holder
+from nutmegworks.ingress import jobs
+from nutmegworks.platform import wire
 from nutmegworks.tasks import records
 from tests.ingress import builders
 
@@ -20,6 +23,25 @@
     builders.run(case)
 
 
+@pytest.mark.parametrize('padding', [0, 100, 200_000])
+def test_a_large_submission_is_stored_without_padding(padding: int) -> None:
+    """Guards against padding that fills the store and the leader's memory."""
+
+    async def case(ingress: builders.Ingress) -> None:
+        body = builders.BODY + b' ' * padding
+        assert (await ingress.call('POST', body=body)).status == 200
+        item = ingress.store.item_by_key[records.job_key(builders.JOB)]
+        stored = msgspec.json.decode(item.value, type=records.AcceptedJob)
+        if padding < jobs.MAX_STORED_AS_RECEIVED_BYTES:
+            assert stored.body == body
+        else:
+            assert len(stored.body) < 2 * len(builders.BODY)
+        decoder = wire.PlatformDecoder()
+        assert decoder.submission(stored.body) == decoder.submission(body)
+
+    builders.run(case)
+
+
 def test_a_repeated_submission_creates_one_job() -> None:
     """A client that lost the response submits the job again."""
 
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -114,6 +114,105 @@
         wire.decode_submission(body)
 
 
+@pytest.mark.parametrize(
+    'job',
+    [
+        {
+            'steps': [{
+                'count': 1
+            }]
+        },
+        {
+            'spec':
+            'x' * 4000,
+            'repeatCount':
+            3,
+            'startAtMs':
+            1_800_000_000_123,
+            'intervalMs':
+            1500,
+            'steps': [
+                {
+                    'count': 8,
+                    'cpu': 100,
+                    'memMb': 64,
+                    'gpu': 1,
+                    'estimatedMs': 12.5,
+                    'gang': True,
+                    'sameRack': True,
+                    'requirements': 'a',
+                    'affinity': 'r1-1',
+                    'checkpointing': True,
+                },
+                {
+                    'count': 2,
+                    'after': [0],
+                    'antiAffinity': 1,
+                    'allowDuplicates': True,
+                    'longRunning': True,
+                    'mayMiss': 1,
+                },
+                {
+                    'count': 1,
+                    'fills': True,
+                    'cpu': 7
+                },
+            ],
+        },
+    ],
+)
+def test_a_compact_submission_is_the_same_job(job: dict[str, object]) -> None:
+    """Guards against padding that reaches the store and each leader."""
+    plain = msgspec.json.encode(job)
+    padded = msgspec.json.encode({**job, 'unknown': 'y' * 99_000}) + b' ' * 99
+    compact = wire.compact_submission(padded)
+    assert len(compact) <= len(plain) + 20
+    assert wire.decode_submission(compact) == wire.decode_submission(plain)
+
+
+def test_limits_of_a_configuration() -> None:
+    """Guards against limits of the operator that are in force nowhere."""
+    document = {
+        **CONFIGURATION, 'limits': {
+            'maxBodyBytes': 262_144,
+            'maxHeaderBytes': 0,
+            'headerTimeoutMs': 3000,
+            'idleTimeoutMs': 15_000,
+        }
+    }
+    decoded = wire.decode_configuration(msgspec.json.encode(document))
+    assert decoded.max_body_bytes == 262_144
+    # A limit that is not above zero would refuse every call.
+    assert decoded.max_header_bytes == 16 * 1024
+    assert (decoded.header_timeout, decoded.idle_timeout) == (3.0, 15.0)
+
+
+@pytest.mark.parametrize(
+    ('limits', 'expected'),
+    [
+        ({}, (200_000_000, 3900)),
+        ({
+            'memoryMb': 552,
+            'maxFds': 8192
+        }, (552_000_000, 7992)),
+        ({
+            'memoryMb': 0,
+            'maxFds': -1
+        }, (200_000_000, 3900)),
+        ({
+            'maxFds': 100
+        }, (200_000_000, 64)),
+    ],
+)
+def test_limits_of_the_machine(
+    limits: dict[str, int], expected: tuple[int, int]
+) -> None:
+    """Guards against a daemon that uses more than its machine has."""
+    document = {**settings_document(), 'limits': limits}
+    decoded = settings.decode(msgspec.json.encode(document))
+    assert (decoded.memory, decoded.max_sockets) == expected
+
+
 def test_worker() -> None:
     """The rack is decoded from one of the labels."""
     document = builders.worker_document(state='draining', remainingMs=1500)
