net: a body of many chunks goes on after a chunk that was split

Callers saw: 400 after 10 s for a legal body of over 128 chunks of which one head or end arrived in two pieces; operators saw nutmegd end with exit code 1.

Cause: the turns of "the work that one connection causes in one turn is bounded" took received bytes for parts that can be decoded. A head of a chunk that was received in part can't be, and no more bytes were read for it.

The stack of the connection that was open after the drain: it slept in the lane, again and again, with the head of a chunk in its buffer. test_a_body_of_many_chunks_is_read_however_it_is_split[7] fails on (400) and passes now.

Change: after each turn the connection first reads on, and enters the lane only if more than one part is there.

--- a/src/nutmegworks/net/server.py
+++ b/src/nutmegworks/net/server.py
@@ -416,12 +416,11 @@
                 return isinstance(event, h11.EndOfMessage)
         lane = self._server._budget.framing_lane
         while True:
-            if self._http.trailing_data[0]:
+            event = await self._next_body_event()
+            if event is None and self._http.trailing_data[0]:
                 async with lane:
                     event = self._decode_turn()
                     await curio.sleep(FRAMING_PAUSE_SECONDS)
-            else:
-                event = await self._next_body_event()
             if event is not None:
                 return isinstance(event, h11.EndOfMessage)
 
--- a/tests/net/test_budget.py
+++ b/tests/net/test_budget.py
@@ -249,6 +249,24 @@
     helpers.run(main)
 
 
+@pytest.mark.parametrize('piece', [7, 1000, 40_000])
+def test_a_body_of_many_chunks_is_read_however_it_is_split(piece: int) -> None:
+    """Guards against waiting for a part whose head was received in part."""
+
+    async def main() -> None:
+        service = _Service()
+        chunks = b'3\r\nabc\r\n' * 2000 + b'0\r\n\r\n'
+        head = HEAD + b'transfer-encoding: chunked\r\n\r\n'
+        sock = await _open(await service.start(), head)
+        for start in range(0, len(chunks), piece):
+            await sock.sendall(chunks[start:start + piece])
+            await curio.sleep(0)
+        assert await _status(sock) == 200
+        await service.stop()
+
+    helpers.run(main)
+
+
 @pytest.mark.parametrize('size', [100, 100_000])
 def test_answers_give_back_what_they_took(size: int) -> None:
     """Guards against answers of upstreams and of the store beside it."""
