net: requests that still arrive do not hold a drain to its end

Callers saw, on a daemon that stops: a connection cut without an answer when the grace had passed, for a body that went on slowly but steadily.

Change: from half of a drain's time on, connections are closed whose request is neither handled nor answered; they get 429, as it has not run. What is still open after a drain is logged by phase.

--- a/src/nutmegworks/net/budget.py
+++ b/src/nutmegworks/net/budget.py
@@ -183,12 +183,25 @@
         self._close(chosen)
         return True
 
-    def close_stalled(self) -> None:
-        """Close all connections without progress."""
+    def close_for_stop(self, *, all_unhandled: bool) -> None:
+        """Close connections without progress before the process ends.
+
+        :param all_unhandled: also those with progress, unless their request
+            is being handled or answered.
+        """
         for holder in self._view():
-            if intake.may_give_way(holder):
+            if intake.may_give_way(holder) or (
+                    all_unhandled and intake.IS_UNHANDLED[holder.phase]):
                 self._close(holder.holder_id)
 
+    def count_by_phase(self) -> dict[str, int]:
+        """Return how many connections are in each phase, for logs."""
+        return dict(
+            collections.Counter(
+                holder.phase.value for holder in self._holder_by_id.values()
+            )
+        )
+
     def _view(self) -> list[intake.Holder]:
         now = self.clock()
         return [
--- a/src/nutmegworks/net/server.py
+++ b/src/nutmegworks/net/server.py
@@ -190,9 +190,18 @@
         waited = 0.0
         while self._open and waited < limit:
             if not self._internal:
-                self._budget.close_stalled()
+                # Requests that still arrive then would not be answered in
+                # time.
+                self._budget.close_for_stop(all_unhandled=waited > limit / 2)
             await curio.sleep(DRAIN_POLL_SECONDS)
             waited += DRAIN_POLL_SECONDS
+        if self._open:
+            _LOG.warning(
+                'connections still open after the drain',
+                count=self._open,
+                in_flight=self._in_flight,
+                phases=self._budget.count_by_phase(),
+            )
         return self._open == 0
 
     async def _accept(self) -> None:
@@ -353,9 +362,9 @@
         started = time.monotonic()
         channel = self._channel
         self._headers = None
+        limits = self._limits
         if not channel.begin_request():
             raise _no_memory()
-        limits = self._limits
         head_timeout = min(limits.header_timeout, limits.request_timeout)
         async with curio.timeout_after(head_timeout):
             head = await self._read_head()
--- a/src/nutmegworks/policy/intake.py
+++ b/src/nutmegworks/policy/intake.py
@@ -57,6 +57,16 @@
     Phase.REFUSED: 0.0,
 }
 
+# Whether a connection in a phase may be closed at any time before its process
+# ends: no request of it has begun to take effect.
+IS_UNHANDLED: typing.Final = {
+    Phase.IDLE: True,
+    Phase.RECEIVING: True,
+    Phase.HANDLING: False,
+    Phase.ANSWERING: False,
+    Phase.REFUSED: True,
+}
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Holder:
@@ -122,6 +132,7 @@
 __all__ = (
     'Holder',
     'HolderId',
+    'IS_UNHANDLED',
     'Kind',
     'PROGRESS_BYTES',
     'Phase',
--- a/tests/net/test_budget.py
+++ b/tests/net/test_budget.py
@@ -96,6 +96,9 @@
         while self._server.open_connections:
             await curio.sleep(0.01)
 
+    async def drain(self, limit: float) -> bool:
+        return await self._server.drain(limit)
+
     async def stop(self) -> None:
         await self._server.drain(limit=0.0)
 
@@ -267,6 +270,27 @@
     helpers.run(main)
 
 
+def test_a_body_that_goes_on_for_long_does_not_hold_a_drain() -> None:
+    """Guards against a stopping daemon that is killed after its grace."""
+
+    async def main() -> None:
+        service = _Service()
+        sock = await _open(await service.start(), _announce(100_000))
+
+        async def go_on() -> None:
+            while True:
+                await sock.sendall(b'x' * 2000)
+                await curio.sleep(0.1)
+
+        sender = await curio.spawn(go_on, daemon=True)
+        await curio.sleep(0.05)
+        assert await service.drain(limit=0.4)
+        assert await _status(sock) == 429
+        await sender.cancel()
+
+    helpers.run(main)
+
+
 @pytest.mark.parametrize('size', [100, 100_000])
 def test_answers_give_back_what_they_took(size: int) -> None:
     """Guards against answers of upstreams and of the store beside it."""
