net: a head takes as much memory as its limit allows

Found by reading; no caller saw it. The memory for a head is the limit in force and one read. Constants of answers stand with the other ones.

tests/net, tests/policy/test_intake.py, tests/settings and tests/daemon/test_fleetnode.py pass.

--- a/src/nutmegworks/net/channel.py
+++ b/src/nutmegworks/net/channel.py
@@ -11,17 +11,19 @@
 from nutmegworks.policy import intake
 
 # Memory of an open connection without the bytes that it receives: its task,
-# its parser and what the kernel holds of it.
+# its parser and its share of the kernel's tables.
 CONNECTION_BYTES: typing.Final = 16 * 1024
-# Bytes that one read of a server may return, and bytes of a head.
+# Bytes that one read of a server may return.
 RECEIVE_BYTES: typing.Final = 16 * 1024
-BUFFER_BYTES: typing.Final = 2 * RECEIVE_BYTES
 # What the kernel holds of a connection that is not read counts as memory of
 # the machine. Linux reserves twice this size.
 KERNEL_BUFFER_BYTES: typing.Final = 16 * 1024
 # A body is held as received, as a copy, decoded, as a record, and encoded for
 # the store or an upstream.
 BODY_COPIES: typing.Final = 8
+# An answer is held as received, as a copy and decoded.
+ANSWER_COPIES: typing.Final = 3
+UNCOUNTED_ANSWER_BYTES: typing.Final = 16 * 1024
 
 
 class Channel(budgets.Holder):
@@ -60,14 +62,18 @@
         """Take the memory of the connection itself."""
         return self.take(CONNECTION_BYTES, self._kind(0))
 
-    def begin_request(self) -> bool:
-        """Take the memory for the head of a request."""
+    def begin_request(self, max_header: int) -> bool:
+        """Take the memory for the head of a request.
+
+        :param max_header: bytes of the largest head that is accepted.
+        """
         self.received = 0
         self._progress_bytes = 0
         if not self._buffer_held:
-            if not self.take(BUFFER_BYTES, self._kind(0)):
+            needed = max_header + RECEIVE_BYTES
+            if not self.take(needed, self._kind(0)):
                 return False
-            self._buffer_held = BUFFER_BYTES
+            self._buffer_held = needed
         return True
 
     def end_reading(self, unparsed: int) -> None:
@@ -165,7 +171,9 @@
 async def receive_answer(sock: curio.io.Socket, size: int) -> bytes:
     """Return the next bytes of an answer to this daemon's own request.
 
-    :param size: most bytes to return; an ``AnswerAccount`` takes what is kept.
+    The caller keeps what an ``AnswerAccount`` has reserved.
+
+    :param size: most bytes to return.
     """
     return await sock.recv(size)
 
@@ -183,10 +191,6 @@
             await self.wait(needed)
 
 
-# An answer is held as received, as a copy and decoded.
-ANSWER_COPIES: typing.Final = 3
-UNCOUNTED_ANSWER_BYTES: typing.Final = 16 * 1024
-
 __all__ = (
     'AnswerAccount',
     'BODY_COPIES',
--- a/src/nutmegworks/net/server.py
+++ b/src/nutmegworks/net/server.py
@@ -363,7 +363,7 @@
         channel = self._channel
         self._headers = None
         limits = self._limits
-        if not channel.begin_request():
+        if not channel.begin_request(limits.max_header):
             raise _no_memory()
         head_timeout = min(limits.header_timeout, limits.request_timeout)
         async with curio.timeout_after(head_timeout):
