--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,8 +1,7 @@
-"""The leader is killed; the next one starts what has waited meanwhile."""
+"""Clients cancel many jobs at the same time."""
 from __future__ import annotations
 
 import asyncio
-import collections
 import pathlib
 import secrets
 import sys
@@ -14,51 +13,18 @@
 
 EXECUTORS: typing.Final = 2
 CPU_OF_AN_EXECUTOR: typing.Final = 128000
-# The job of the example in PROTOCOL.md, without its second step.
+JOBS: typing.Final = 20
 TASKS_OF_A_JOB: typing.Final = 16
 CPU_OF_A_TASK: typing.Final = 500
-TASK_SECONDS: typing.Final = 0.9
-JOBS_PER_SECOND: typing.Final = 10.0
-TRAFFIC_SECONDS: typing.Final = 7.0
-KILL_AFTER_SECONDS: typing.Final = 4.0
-# How long the site's days keep a killed leader away.
-DOWN_SECONDS: typing.Final = 3.5
-# From RULES.md, rule LOST.
-FINISH_SECONDS: typing.Final = 14.0
-IDLE_SECONDS: typing.Final = 3.0
+TASK_SECONDS: typing.Final = 45.0
+SUBMIT_INTERVAL_SECONDS: typing.Final = 0.25
+# From the sheet of the site.
+CANCEL_SECONDS: typing.Final = 3.0
+STOP_TIMEOUT_SECONDS: typing.Final = 0.2
+# Between two cancels if there is no disruption.
+CALM_INTERVAL_SECONDS: typing.Final = 0.5
 JUDGED_SECONDS: typing.Final = 8.0
-SAMPLE_SECONDS: typing.Final = 0.1
-
-
-class IdleJobs:
-    """Measures for how long jobs have nothing running beside free room."""
-
-    def __init__(self, workers: typing.Sequence[executors.Executor]) -> None:
-        self._workers = workers
-        self._since: dict[str, float] = {}
-        self.longest: dict[str, float] = {}
-
-    def sample(self, job_ids: typing.Iterable[str]) -> None:
-        now = time.monotonic()
-        used = CPU_OF_A_TASK * sum(len(w.runs) for w in self._workers)
-        has_room = used < EXECUTORS * CPU_OF_AN_EXECUTOR / 2
-        running = {
-            task.split('.')[0]
-            for worker in self._workers for task, _ in worker.runs
-        }
-        done = collections.Counter(
-            task.split('.')[0] for task in {
-                end[1] for worker in self._workers for end in worker.ends
-                if end[3] == 'done'
-            }
-        )
-        for job_id in job_ids:
-            finished = done[job_id] >= TASKS_OF_A_JOB
-            if finished or job_id in running or not has_room:
-                self._since.pop(job_id, None)
-                continue
-            idle = now - self._since.setdefault(job_id, now)
-            self.longest[job_id] = max(idle, self.longest.get(job_id, 0.0))
+SAMPLE_SECONDS: typing.Final = 0.05
 
 
 async def case(cluster: clusters.Cluster, with_trouble: bool) -> int:
@@ -80,58 +46,53 @@
         'steps': [{'count': TASKS_OF_A_JOB, 'cpu': CPU_OF_A_TASK,
                    'memMb': 256, 'estimatedMs': int(1000 * TASK_SECONDS)}],
     }
-    calls: dict[str, asyncio.Task] = {}
+    job_ids = [secrets.token_hex(8) for _ in range(JOBS)]
+    for number, job_id in enumerate(job_ids):
+        if await cluster.submit(job_id, body, number) != 200:
+            return 2
+        await asyncio.sleep(SUBMIT_INTERVAL_SECONDS)
+    await asyncio.sleep(2)
+    at_work = [len(worker.runs) for worker in workers]
+    record(f'tasks at work: {at_work}')
+    if sum(at_work) < JOBS * TASKS_OF_A_JOB:
+        return 2
+    cancelled_at: dict[str, float] = {}
 
-    async def send() -> None:
-        for number in range(int(TRAFFIC_SECONDS * JOBS_PER_SECOND)):
-            job_id = secrets.token_hex(8)
-            calls[job_id] = asyncio.create_task(
-                cluster.submit(job_id, body, number)
-            )
-            await asyncio.sleep(1 / JOBS_PER_SECOND)
+    async def cancel(number: int, job_id: str) -> None:
+        answer = await cluster.call('DELETE', job_id, turn=number)
+        if answer is not None and answer[0] == 200:
+            cancelled_at[job_id] = time.monotonic()
 
-    traffic = asyncio.create_task(send())
-    await asyncio.sleep(KILL_AFTER_SECONDS)
-    if with_trouble:
-        leader = cluster.leader()
-        if leader is None:
-            return 2
-        leader.kill()
-        await asyncio.sleep(DOWN_SECONDS)
-        leader.start()
-    await traffic
-    ended = time.monotonic()
-    record('the traffic ends')
-    statuses = await asyncio.gather(*calls.values())
-    accepted = [
-        job_id for job_id, status in zip(calls, statuses) if status == 200
-    ]
-    record(f'accepted {len(accepted)} of {len(calls)} jobs')
-    await asyncio.sleep(max(0, ended + FINISH_SECONDS - time.monotonic()))
-    jobs = IdleJobs(workers)
+    calls = []
+    for number, job_id in enumerate(job_ids):
+        calls.append(asyncio.create_task(cancel(number, job_id)))
+        if not with_trouble:
+            await asyncio.sleep(CALM_INTERVAL_SECONDS)
+    await asyncio.gather(*calls)
+    record(f'{len(cancelled_at)} of {JOBS} cancels are acknowledged')
+    longest: dict[str, float] = {}
     until = time.monotonic() + JUDGED_SECONDS
     while time.monotonic() < until:
-        jobs.sample(accepted)
+        now = time.monotonic()
+        for worker in workers:
+            for task, _ in worker.runs:
+                acknowledged_at = cancelled_at.get(task.split('.')[0])
+                if acknowledged_at is not None:
+                    longest[task] = now - acknowledged_at
         await asyncio.sleep(SAMPLE_SECONDS)
     record(f'connections over the cap of {executors.CONNECTIONS}: '
            f'{[worker.server.over_cap for worker in workers]}')
-    ends = collections.Counter(
-        (end[1], end[3]) for worker in workers for end in worker.ends
-    )
-    again = sum(count > 1 for (_, how), count in ends.items()
-                if how == 'done')
-    record(f'{again} tasks ended as done more than once')
-    lines = [
-        f'job {job_id} has nothing running for {seconds:.1f} s'
-        for job_id, seconds in jobs.longest.items()
-        if seconds >= IDLE_SECONDS
-    ]
-    for line in lines:
-        record(f'LOST: {line}')
-    record(f'{len(lines)} jobs had nothing running beside free room')
-    if len(accepted) < len(calls) / 2:
+    limit = CANCEL_SECONDS + STOP_TIMEOUT_SECONDS
+    late = {task: seconds for task, seconds in longest.items()
+            if seconds > limit}
+    for task, seconds in late.items():
+        record(f'UNASKED: {task} runs {seconds:.2f} s after the cancel was '
+               'acknowledged')
+    record(f'{len(late)} tasks of cancelled jobs ran for over {limit} s; '
+           f'at work at the end: {[len(worker.runs) for worker in workers]}')
+    if len(cancelled_at) < JOBS:
         return 2
-    return 1 if lines else 0
+    return 1 if late else 0
 
 
 if __name__ == '__main__':
