--- a/review/lab3/cluster.py
+++ b/review/lab3/cluster.py
@@ -9,6 +9,7 @@
 import re
 import signal
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -244,10 +245,13 @@
 Case = typing.Callable[[Cluster, bool], typing.Awaitable[int]]
 
 
-def main(folder: pathlib.Path, case: Case) -> int:
-    """Run a case; return 1 if the rule was broken, 0 if not, 2 if not run."""
+def main(case: Case) -> int:
+    """Run a case; return 1 if the rule was broken, 0 if not, 2 if not run.
+
+    The first argument of the program is the path of the record.
+    """
     with_trouble = os.environ.get('TROUBLE', '1') != '0'
-    record = Recorder(folder / 'record.txt')
+    record = Recorder(pathlib.Path(sys.argv[1]))
     record(f'trouble: {with_trouble}')
 
     async def run() -> int:
