review: case 12 cancels a share of the jobs that the site allows

Claimed: UNASKED is broken, as before. All of 20 jobs were cancelled; the site's largest share for give_up is 0.4, so 16 of 40 are now.

--- a/review/12/case.py
+++ b/review/12/case.py
@@ -10,12 +10,14 @@
 from review.lab3 import cluster as clusters
 from review.lab3 import executors
 
-EXECUTORS: typing.Final = 2
+EXECUTORS: typing.Final = 3
 CPU_OF_AN_EXECUTOR: typing.Final = 128000
-JOBS: typing.Final = 20
+JOBS: typing.Final = 40
+# A share of 0.4, the site's largest for `give_up`.
+CANCELLED_JOBS: typing.Final = 16
 TASKS_OF_A_JOB: typing.Final = 16
 CPU_OF_A_TASK: typing.Final = 500
-TASK_SECONDS: typing.Final = 45.0
+TASK_SECONDS: typing.Final = 60.0
 SUBMIT_INTERVAL_SECONDS: typing.Final = 0.25
 # From the sheet of the site.
 CANCEL_SECONDS: typing.Final = 3.0
@@ -63,12 +65,12 @@
             cancelled_at[job_id] = time.monotonic()
 
     calls = []
-    for number, job_id in enumerate(job_ids):
+    for number, job_id in enumerate(job_ids[:CANCELLED_JOBS]):
         calls.append(asyncio.create_task(cancel(number, job_id)))
         if not with_trouble:
             await asyncio.sleep(CALM_INTERVAL_SECONDS)
     await asyncio.gather(*calls)
-    record(f'{len(cancelled_at)} of {JOBS} cancels are acknowledged')
+    record(f'{len(cancelled_at)} of {CANCELLED_JOBS} cancels are acknowledged')
     longest: dict[str, float] = {}
     until = time.monotonic() + JUDGED_SECONDS
     while time.monotonic() < until:
@@ -89,7 +91,7 @@
                'acknowledged')
     record(f'{len(late)} tasks of cancelled jobs ran for over {limit} s; '
            f'at work at the end: {[len(worker.runs) for worker in workers]}')
-    if len(cancelled_at) < JOBS:
+    if len(cancelled_at) < CANCELLED_JOBS:
         return 2
     return 1 if late else 0
 
