--- a/review/lab3/cluster.py
+++ b/review/lab3/cluster.py
@@ -21,7 +21,7 @@
 
 REPOSITORY: typing.Final = pathlib.Path(__file__).parents[2]
 ROUTE_HOST: typing.Final = 'review.example'
-PREFIX: typing.Final = '/work/'
+PREFIX: typing.Final = '/planner/'
 SERVICE: typing.Final = 'planner'
 API_KEY: typing.Final = 'review-key'
 READY_TIMEOUT_SECONDS: typing.Final = 20.0
@@ -66,7 +66,7 @@
 
     def __init__(
         self, number: int, folder: pathlib.Path, store_port: int,
-        zone: str, record: Recorder,
+        zone: str, record: Recorder, bounds: typing.Mapping[str, object],
     ) -> None:
         self.name = f'edge-{zone}-{number}'
         self.front = httpio.free_port()
@@ -90,7 +90,7 @@
             'dataDir': None, 'discovery': 'platform', 'entry': 'vip',
             'heartbeatMs': 1500, 'contracts': ['base', 'sched', 'platform'],
             'faultTolerance': {'machines': 2, 'zones': 1, 'regions': 0},
-            'bounds': BOUNDS, 'orders': 'call',
+            'bounds': dict(bounds), 'orders': 'call',
             'platform': {
                 'address': f'{httpio.HOST}:{store_port}', 'form': 'kv',
                 'writesPerS': 400, 'readsPerS': 2000, 'historyS': 20,
@@ -152,9 +152,13 @@
         self.daemons: list[Daemon] = []
 
     async def start(
-        self, daemons: int = 3, priority: int = 1, attempts: int = 4
+        self, daemons: int = 3, priority: int = 1, attempts: int = 4,
+        bounds: typing.Mapping[str, object] = BOUNDS,
     ) -> bool:
-        """Return whether all daemons became ready."""
+        """Return whether all daemons became ready.
+
+        :param bounds: those of zahra-rounds by default.
+        """
         await self.store.start()
         self.store.put(
             'op/config', {
@@ -174,7 +178,8 @@
         )
         for number in range(1, daemons + 1):
             daemon = Daemon(
-                number, self.folder, self.store.port, 'north', self.record
+                number, self.folder, self.store.port, 'north', self.record,
+                bounds,
             )
             self.daemons.append(daemon)
             daemon.start()
--- a/review/lab3/executors.py
+++ b/review/lab3/executors.py
@@ -85,6 +85,8 @@
         self._ended = asyncio.Event()
         self.is_up = True
         self._record(f'{self.worker_id} starts born={self.born}')
+        # It is in the store before it answers anybody.
+        self._say()
         await self.server.start()
         self._tasks = [
             asyncio.create_task(self._tick()),
@@ -104,6 +106,9 @@
 
     def _say(self) -> None:
         self._sequence += 1
+        if self._sequence == 1:
+            self._record(f'{self.worker_id} writes its entry born={self.born} '
+                         f'labels={list(self.labels)}')
         self._store.put(
             self.key, {
                 'service': self.service,
@@ -122,9 +127,9 @@
 
     async def _beat(self) -> None:
         while True:
+            await asyncio.sleep(self._heartbeat)
             if not (self.server.is_cut or self._store.is_down):
                 self._say()
-            await asyncio.sleep(self._heartbeat)
 
     async def _tick(self) -> None:
         while True:
