fleet, net, policy: what is sent to a worker keeps to its connections

Without any fault, a job of 400 tasks on two workers did not end.

Cause: a worker accepts 64 connections and resets further ones. Each start and stop opened a connection of its own; those that were reset were repeated over fresh connections, stops every 0.2 s for ever and all at once, while up to 64 idle connections to the worker stayed in the pool. A start that was reset made its worker silent and turned into a stop, which could not be sent either.

A connection that broke, or was not to be had, makes no worker silent; a start that was never sent is planned anew. A term that ends stops its orders and closes its connections.

The pool of tests/platform/test_executors.py became the connections that the client now takes; its checks are the same.

--- a/src/nutmegworks/adapters/upstreams.py
+++ b/src/nutmegworks/adapters/upstreams.py
@@ -125,6 +125,7 @@
 
 _FAULT_BY_NET: typing.Final = {
     client.Fault.CONNECT: CallFault.CONNECT,
+    client.Fault.NO_ROOM: CallFault.CONNECT,
     client.Fault.TIMEOUT: CallFault.TIMEOUT,
     client.Fault.CLOSED: CallFault.CLOSED,
     client.Fault.PROTOCOL: CallFault.PROTOCOL,
--- a/src/nutmegworks/daemon/fleetnode.py
+++ b/src/nutmegworks/daemon/fleetnode.py
@@ -20,6 +20,7 @@
 from nutmegworks.fleet import relay
 from nutmegworks.fleet import supervision
 from nutmegworks.fleet import transport
+from nutmegworks.fleet import worker_connections
 from nutmegworks.ingress import call as calls
 from nutmegworks.ingress import filters
 from nutmegworks.ingress import jobs
@@ -40,8 +41,7 @@
 
 _LOG: typing.Final = logbook.Logger('node')
 
-# Idle connections are closed after this time. Start and stop requests and
-# watches reuse their connections; those to workers are in constant use.
+# Idle connections are closed after this time; watches reuse theirs.
 CONNECTION_IDLE_SECONDS: typing.Final = 20.0
 RETIRE_INTERVAL_SECONDS: typing.Final = 2.0
 # A host that gets no response from the store or any peer for this time reports
@@ -111,7 +111,12 @@
             self._member_sink,
             min_lease=settings.min_lease,
         )
-        self._executor_client = executors.ExecutorClient(self._pool)
+        self._worker_connections = worker_connections.WorkerConnections(
+            settings.max_sockets, budget=self._budget
+        )
+        self._executor_client = executors.ExecutorClient(
+            self._worker_connections
+        )
         self._candidate = leader.Candidate(self._membership, self._make_term)
         self._leader_client = leader_client.HttpLeaderClient(
             self._membership, self._candidate, self._pool
@@ -223,6 +228,10 @@
             metrics.config_version.set(
                 {}, self._configuration_holder.value.version
             )
+        metrics.orders.show(
+            {} if term is None else term.orders_waiting(),
+            self._worker_connections,
+        )
         metrics.show_budget(self._budget, self._client_server.open_connections)
         if term is not None:
             state = term.state
@@ -302,6 +311,7 @@
         while True:
             await curio.sleep(RETIRE_INTERVAL_SECONDS)
             await self._pool.close_expired()
+            await self._worker_connections.close_expired()
 
 
 def _machine_limits(max_sockets: int) -> server.Limits:
--- a/src/nutmegworks/fleet/interfaces.py
+++ b/src/nutmegworks/fleet/interfaces.py
@@ -193,16 +193,34 @@
         ...
 
 
+class Delivery(enum.Enum):
+    """What became of a request to a worker.
+
+    :cvar UNANSWERED: no usable answer in time; it may still take effect.
+    :cvar BROKEN: the connection broke; it may have taken effect.
+    :cvar UNREACHED: no connection could be opened; it was not sent.
+    :cvar NO_CONNECTION: this host had no connection left; it was not sent.
+    """
+
+    ANSWERED = 'answered'
+    UNANSWERED = 'unanswered'
+    BROKEN = 'broken'
+    UNREACHED = 'unreached'
+    NO_CONNECTION = 'no-connection'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallError:
-    """A worker gave no usable answer; the request may still take effect.
+    """A worker gave no usable answer.
 
     :param replaced: another worker answered at the address, so the intended
         incarnation has ended.
+    :param delivery: whether the request may still take effect.
     """
 
     detail: str
     replaced: bool = False
+    delivery: Delivery = Delivery.UNANSWERED
 
 
 class WorkerClient(abc.ABC):
@@ -211,6 +229,9 @@
     With ``fresh`` a request is sent over a new connection.
     """
 
+    async def disconnect(self) -> None:
+        """Close the connections that no request uses."""
+
     @abc.abstractmethod
     async def start(
         self,
@@ -299,6 +320,7 @@
     'Commit',
     'CommitOutcome',
     'Decoder',
+    'Delivery',
     'HistoryLostError',
     'Item',
     'LeaseId',
--- a/src/nutmegworks/fleet/leader.py
+++ b/src/nutmegworks/fleet/leader.py
@@ -126,6 +126,10 @@
             )
         return self.state.public_state(job_id)
 
+    def orders_waiting(self) -> typing.Mapping[ids.WorkerId, int]:
+        """Return how many orders wait, by worker, without zeros."""
+        return self._orders.waiting_by_worker()
+
     def view_age(self) -> float:
         """Return how many seconds old this term's view of the jobs may be.
 
@@ -159,6 +163,8 @@
             )
         finally:
             await self._close_sessions()
+            # The next leader needs the workers' connections.
+            await self._client.disconnect()
 
     async def _close_sessions(self) -> None:
         for task in self._sessions.values():
--- a/src/nutmegworks/fleet/worker.py
+++ b/src/nutmegworks/fleet/worker.py
@@ -74,6 +74,8 @@
         start request.
     :param unanswered_at: when it last did not answer a start request or a
         renewal.
+    :param unreached_at: when a connection to it for a start request or a stop
+        request last could not be opened.
     """
 
     entry: workers.WorkerEntry
@@ -93,6 +95,7 @@
     acknowledgement_expires_at: float = -math.inf
     paused_until: float = 0.0
     unanswered_at: float = -math.inf
+    unreached_at: float = -math.inf
     runs_by_key: dict[RunKey,
                       table.Run] = dataclasses.field(default_factory=dict)
 
@@ -107,6 +110,14 @@
             self.answered_at is None or self.unanswered_at > self.answered_at
         )
 
+    @property
+    def reachable(self) -> bool:
+        """Whether its last answer is newer than any failure to reach it."""
+        return (
+            self.answered_at is not None and not self.silent
+            and self.unreached_at <= self.answered_at
+        )
+
     def renewal_lease(self, now: float) -> int | None:
         """Return the lease end for a renewal that is sent now.
 
@@ -237,7 +248,7 @@
         """Return whether the worker may get work now or after its pause."""
         return (
             self.registered and self.entry.state is workers.WorkerState.READY
-            and self.answered_at is not None and not self.silent
+            and self.answered_at is not None and self.reachable
             and now - self.answered_at < MAX_ANSWER_AGE_SECONDS
         )
 
--- a/src/nutmegworks/fleet/worker_session.py
+++ b/src/nutmegworks/fleet/worker_session.py
@@ -105,7 +105,7 @@
     def _report_wait(self, acknowledged: int) -> float:
         worker = self._worker
         # Starts wait for the answer to an acknowledgement.
-        if worker.silent or acknowledged:
+        if acknowledged or not worker.reachable:
             return 0.0
         if worker.awaits_acknowledgement:
             return UNREPORTED_WAIT_SECONDS
--- a/src/nutmegworks/net/client.py
+++ b/src/nutmegworks/net/client.py
@@ -39,9 +39,13 @@
 
 
 class Fault(enum.Enum):
-    """Why an exchange failed."""
+    """Why an exchange failed.
+
+    :cvar NO_ROOM: this process may open no further connection at present.
+    """
 
     CONNECT = 'connect'
+    NO_ROOM = 'no-room'
     TIMEOUT = 'timeout'
     CLOSED = 'closed'
     PROTOCOL = 'protocol'
@@ -108,6 +112,10 @@
         self._may_have_sent = False
         self._on_first_byte: typing.Callable[[], None] | None = None
 
+    @property
+    def is_open(self) -> bool:
+        return self._open
+
     @property
     def reusable(self) -> bool:
         return self._open and self._http.our_state is h11.IDLE
--- a/src/nutmegworks/net/pool.py
+++ b/src/nutmegworks/net/pool.py
@@ -71,10 +71,8 @@
         started = self._clock()
         connection = None if fresh else await self._acquire(address)
         if connection is None:
-            opened = await client.connect(
-                address,
-                timeout=min(timeout, connect_timeout),
-                budget=self._budget,
+            opened = await self._connect(
+                address, min(timeout, connect_timeout)
             )
             if isinstance(opened, result.Err):
                 return opened
@@ -99,6 +97,15 @@
         await self._release(connection)
         return answer
 
+    async def _connect(
+        self,
+        address: client.Address,
+        timeout: float,
+    ) -> result.Result[client.Connection, client.ExchangeError]:
+        return await client.connect(
+            address, timeout=timeout, budget=self._budget
+        )
+
     async def _acquire(
         self,
         address: client.Address,
--- a/src/nutmegworks/platform/executors.py
+++ b/src/nutmegworks/platform/executors.py
@@ -8,11 +8,11 @@
 import result
 
 from nutmegworks.fleet import interfaces
+from nutmegworks.fleet import worker_connections
 from nutmegworks.model import documents
 from nutmegworks.model import ids
 from nutmegworks.net import client
 from nutmegworks.net import message
-from nutmegworks.net import pool
 from nutmegworks.tasks import spec
 from nutmegworks.tasks import workers
 
@@ -41,6 +41,13 @@
     503: workers.StartOutcome.UNHEALTHY,
 }
 
+_OUTCOME_BY_DELIVERY: typing.Final = {
+    interfaces.Delivery.UNANSWERED: workers.StartOutcome.UNKNOWN,
+    interfaces.Delivery.BROKEN: workers.StartOutcome.BROKEN,
+    interfaces.Delivery.UNREACHED: workers.StartOutcome.UNREACHED,
+    interfaces.Delivery.NO_CONNECTION: workers.StartOutcome.NO_CONNECTION,
+}
+
 
 class _Rejection(msgspec.Struct):
     reason: str = ''
@@ -77,31 +84,30 @@
 
 
 class ExecutorClient(interfaces.WorkerClient):
-    """Sends requests over pooled connections, each with a time limit."""
+    """Sends requests over a bounded number of connections to each worker."""
 
-    def __init__(self, connections: pool.Pool) -> None:
-        self._pool = connections
+    def __init__(
+        self, connections: worker_connections.WorkerConnections
+    ) -> None:
+        self._connections = connections
 
-    async def _post(
+    async def disconnect(self) -> None:
+        await self._connections.close()
+
+    async def _order(
         self,
         worker: workers.WorkerEntry,
         path: str,
         body: typing.Mapping[str, object],
-        timeout: float,
-        fresh: bool = False,
-    ) -> result.Result[message.Response, client.ExchangeError]:
-        request = message.Request(
-            'POST',
-            path,
-            {
-                'content-type': 'application/json',
-                'x-expect-instance': worker.worker_id,
-            },
-            msgspec.json.encode(body),
-        )
-        return await self._pool.exchange(
-            worker.address, request, timeout=timeout, fresh=fresh
+        fresh: bool,
+    ) -> result.Result[message.Response, interfaces.CallError]:
+        answer = await self._connections.send_order(
+            worker.address,
+            _request(worker, path, body),
+            timeout=REQUEST_TIMEOUT_SECONDS,
+            fresh=fresh,
         )
+        return answer.map_err(_call_error)
 
     async def start(
         self,
@@ -119,11 +125,9 @@
         }
         if request.checkpoint:
             body['checkpoint'] = request.checkpoint
-        answer = await self._post(
-            worker, '/run-start', body, REQUEST_TIMEOUT_SECONDS, fresh
-        )
+        answer = await self._order(worker, '/run-start', body, fresh)
         if answer.is_err():
-            return workers.StartOutcome.UNKNOWN
+            return _OUTCOME_BY_DELIVERY[answer.err_value.delivery]
         response = answer.ok_value
         if response.status == 409:
             return _OUTCOME_BY_REASON.get(
@@ -143,11 +147,9 @@
         fresh: bool = False,
     ) -> result.Result[bool, interfaces.CallError]:
         body = {'task': task.name, 'runId': run, 'fencingToken': token}
-        answer = await self._post(
-            worker, '/run-stop', body, REQUEST_TIMEOUT_SECONDS, fresh
-        )
+        answer = await self._order(worker, '/run-stop', body, fresh)
         if answer.is_err():
-            return result.Err(interfaces.CallError(answer.err_value.detail))
+            return answer
         status = answer.ok_value.status
         if status in (200, 409):
             return result.Ok(status == 200)
@@ -170,11 +172,13 @@
             body['deadlineMs'] = lease_until
         if wait > 0:
             body['waitMs'] = int(min(wait, MAX_RENEWAL_WAIT_SECONDS) * 1000)
-        answer = await self._post(
-            worker, '/hold', body, wait + RENEWAL_MARGIN_SECONDS
+        answer = await self._connections.send_renewal(
+            worker.address,
+            _request(worker, '/hold', body),
+            timeout=wait + RENEWAL_MARGIN_SECONDS,
         )
         if answer.is_err():
-            return result.Err(interfaces.CallError(answer.err_value.detail))
+            return result.Err(_call_error(answer.err_value))
         response = answer.ok_value
         if response.status == 409:
             return result.Ok(None)
@@ -192,6 +196,28 @@
             return result.Err(interfaces.CallError(str(error)))
 
 
+def _request(
+    worker: workers.WorkerEntry,
+    path: str,
+    body: typing.Mapping[str, object],
+) -> message.Request:
+    return message.Request(
+        'POST',
+        path,
+        {
+            'content-type': 'application/json',
+            'x-expect-instance': worker.worker_id,
+        },
+        msgspec.json.encode(body),
+    )
+
+
+def _call_error(error: client.ExchangeError) -> interfaces.CallError:
+    return interfaces.CallError(
+        error.detail, delivery=worker_connections.delivery(error)
+    )
+
+
 def _rejection_reason(response: message.Response) -> str:
     try:
         return documents.decode(response.body, _Rejection).reason
--- a/src/nutmegworks/tasks/workers.py
+++ b/src/nutmegworks/tasks/workers.py
@@ -106,6 +106,12 @@
     :cvar STALE_RUN: the worker has seen this or a higher run of the task.
     :cvar LEASE_EXPIRED: the lease had expired when the request arrived.
     :cvar UNKNOWN: no usable answer; the run may have started.
+    :cvar BROKEN: the connection broke before an answer; the run may have
+        started.
+    :cvar UNREACHED: no connection to the worker could be opened; the run has
+        not started.
+    :cvar NO_CONNECTION: this host had no connection left; the run has not
+        started.
     """
 
     STARTED = 'started'
@@ -117,6 +123,9 @@
     UNHEALTHY = 'unhealthy'
     WRONG_WORKER = 'wrong-worker'
     UNKNOWN = 'unknown'
+    BROKEN = 'broken'
+    UNREACHED = 'unreached'
+    NO_CONNECTION = 'no-connection'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/nutmegworks/telemetry/fleetmetrics.py
+++ b/src/nutmegworks/telemetry/fleetmetrics.py
@@ -16,6 +16,66 @@
 )
 
 
+class ConnectionCounts(typing.Protocol):
+    """What the connections to workers tell of themselves."""
+
+    broken: int
+
+    @property
+    def refused(self) -> int:
+        ...
+
+    def open_by_address(self) -> typing.Mapping[typing.Any, int]:
+        ...
+
+
+class OrderMetrics:
+    """Metrics of the orders that wait and the connections to workers."""
+
+    def __init__(self, registry: aioprometheus.Registry) -> None:
+        self._gauge_by_name = {
+            name: aioprometheus.Gauge(name, doc, registry=registry)
+            for name, doc in (
+                (
+                    'nutmeg_orders_waiting',
+                    'Orders that wait to be sent, sum and largest of a '
+                    'worker.',
+                ),
+                (
+                    'nutmeg_worker_connections',
+                    'Connections to workers, sum and largest of a worker.',
+                ),
+                (
+                    'nutmeg_worker_connections_broken_total',
+                    'Requests to workers whose connection broke.',
+                ),
+                (
+                    'nutmeg_orders_without_connection_total',
+                    'Orders put back because all connections were in use.',
+                ),
+            )
+        }
+
+    def show(
+        self,
+        waiting: typing.Mapping[typing.Any, int],
+        connections: ConnectionCounts,
+    ) -> None:
+        """Set all metrics to their present values."""
+        for name, counts in (
+            ('nutmeg_orders_waiting', waiting),
+            ('nutmeg_worker_connections', connections.open_by_address()),
+        ):
+            gauge = self._gauge_by_name[name]
+            gauge.set({'of': 'all'}, sum(counts.values()))
+            gauge.set({'of': 'largest'}, max(counts.values(), default=0))
+        for name, count in (
+            ('nutmeg_worker_connections_broken_total', connections.broken),
+            ('nutmeg_orders_without_connection_total', connections.refused),
+        ):
+            self._gauge_by_name[name].set({}, count)
+
+
 class FleetMetrics:
     """All metrics of one daemon, in their own registry."""
 
@@ -75,6 +135,12 @@
             'nutmeg_config_age_seconds',
             'Seconds since the configuration was last read in the store.',
         )
+        self.order_wait_seconds = self._histogram(
+            'nutmeg_order_wait_seconds',
+            'Seconds that an order waited until it was first sent, by kind.',
+            metrics.LATENCY_BUCKETS,
+        )
+        self.orders = OrderMetrics(self.registry)
         self._intake = metrics.IntakeMetrics(self.registry)
 
     def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
--- a/tests/fleet/builders.py
+++ b/tests/fleet/builders.py
@@ -15,10 +15,12 @@
 from nutmegworks.fleet import membership
 from nutmegworks.fleet import transport
 from nutmegworks.fleet import worker as fleet_worker
+from nutmegworks.fleet import worker_connections
 from nutmegworks.fleet import worker_session
 from nutmegworks.model import ids
 from nutmegworks.net import client
 from nutmegworks.net import pool
+from nutmegworks.platform import executors
 from nutmegworks.platform import wire
 from nutmegworks.policy import store_routes
 from nutmegworks.policy import task_planning
@@ -159,6 +161,14 @@
     )
 
 
+def executor_client(
+    max_sockets: int = 3900,
+) -> tuple[executors.ExecutorClient, worker_connections.WorkerConnections]:
+    """Return the client of a leader and its connections."""
+    connections = worker_connections.WorkerConnections(max_sockets)
+    return executors.ExecutorClient(connections), connections
+
+
 def member(
     store: interfaces.Store,
     name: str = 'host-1',
--- a/tests/platform/test_executors.py
+++ b/tests/platform/test_executors.py
@@ -19,13 +19,16 @@
 VARIANTS = 3000
 
 
-class _Pool:
+class _Connections:
     """Answers each request with one response."""
 
     def __init__(self, status: int, body: bytes) -> None:
         self._response = message.Response(status, body=body)
 
-    async def exchange(self, address, request, *, timeout, fresh=False):
+    async def send_renewal(self, address, request, *, timeout):
+        return result.Ok(self._response)
+
+    async def send_order(self, address, request, *, timeout, fresh):
         return result.Ok(self._response)
 
 
@@ -41,7 +44,7 @@
     answers = []
 
     async def main() -> None:
-        client = executors.ExecutorClient(_Pool(status, body))
+        client = executors.ExecutorClient(_Connections(status, body))
         answers.append(
             await client.renew(
                 entry, ids.FencingToken(1), 0, lease_until=None, wait=0.0
@@ -166,7 +169,7 @@
     outcomes = []
 
     async def main() -> None:
-        client = executors.ExecutorClient(_Pool(409, body))
+        client = executors.ExecutorClient(_Connections(409, body))
         request = workers.StartRequest(
             spec.TaskKey.parse('5c0e.0.1.17'),
             workers.RunNumber(1),
