soak: workers have 64 connections and list 500 ends; jobs of hundreds of tasks

No stand-in had the limits that the users' platform enforces, and no job of the soak was large enough to meet them. The large jobs are drawn beside the seeded generator, so that a seed's faults and other jobs are the same as before.

--- a/tests/soak/platform.py
+++ b/tests/soak/platform.py
@@ -26,6 +26,7 @@
 MAX_LEASE_SECONDS: typing.Final = 10.0
 TICK_SECONDS: typing.Final = 0.02
 MAX_PAGE_ITEMS: typing.Final = 500
+MAX_REPORTED_ENDS: typing.Final = 500
 MAX_PAGE_BYTES: typing.Final = 1_000_000
 
 
@@ -454,8 +455,8 @@
                 'running':
                 running,
                 'ended': [
-                    [number, task, run, kind.value, '']
-                    for number, task, run, kind in self._unacknowledged_ends
+                    [number, task, run, kind.value, ''] for number, task, run,
+                    kind in self._unacknowledged_ends[:MAX_REPORTED_ENDS]
                 ],
             },
         )
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -33,6 +33,7 @@
 from nutmegworks.tasks import records
 from nutmegworks.tasks import spec
 from standins import relay as relays
+from tests import capped_server
 from tests.soak import checker as checkers
 from tests.soak import platform
 from tests.soak import waiting
@@ -72,6 +73,8 @@
 PRIORITIES: typing.Final = (0, 1, 2)
 # Of the workers, every fourth has the label that some steps require.
 KINDS: typing.Final = ('a', 'a', 'a', 'b')
+# Tasks of a job that is larger than an executor's connections.
+LARGE_COUNTS: typing.Final = (150, 250, 400)
 # Share of the jobs that require the label, that last and that always fail.
 LABELLED_SHARE: typing.Final = 0.2
 LASTING_SHARE: typing.Final = 0.08
@@ -105,6 +108,8 @@
     """Parameters of a run.
 
     :param seconds: how long faults are injected and jobs submitted.
+    :param large_jobs: jobs of hundreds of tasks, at equal intervals; half of
+        them are cancelled.
     """
 
     seed: int
@@ -113,6 +118,7 @@
     workers: int = 6
     jobs_per_second: float = 2.0
     fault_interval_seconds: float = 1.2
+    large_jobs: int = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -269,10 +275,12 @@
         try:
             await self._wait_for_daemons()
             load = await curio.spawn(self._submit_jobs)
+            large = await curio.spawn(self._submit_large_jobs)
             faults = await curio.spawn(self._inject_faults)
             await curio.spawn(self._count_pending, daemon=True)
             await faults.join()
             await load.join()
+            await large.join()
             await self._judge_waiting()
             await self._cancel_lasting()
             await self._settle()
@@ -298,7 +306,7 @@
 
     async def _serve_worker(self, worker: platform.WorkerStandIn) -> None:
         """Serve a worker at a new address."""
-        service = server.Server(worker.handle)
+        service = capped_server.CappedServer(worker.handle)
         await service.start(HOST, 0)
         self._address_by_worker[worker.worker_id
                                 ] = f'{HOST}:{service.address[1]}'
@@ -386,6 +394,30 @@
             await curio.sleep(min(2.0, pause))
             self._job_tasks.append(await curio.spawn(self._follow_job))
 
+    async def _submit_large_jobs(self) -> None:
+        # Not the seeded generator, which determines the faults and the load.
+        rng = random.Random(self._plan.seed)
+        for number in range(self._plan.large_jobs):
+            step = {
+                'count': rng.choice(LARGE_COUNTS),
+                'cpu': 10,
+                'memMb': 1,
+                'estimatedMs': rng.choice((300, 1500)),
+            }
+            body = msgspec.json.encode(
+                {
+                    'spec': f'{rng.getrandbits(64):016x}',
+                    'steps': [step]
+                }
+            )
+            job_id = ids.JobId(f'{rng.getrandbits(64):016x}')
+            cancels = number % 2 == 1
+            self._job_tasks.append(
+                await
+                curio.spawn(self._follow, JobPlan(job_id, body, 1, cancels))
+            )
+            await curio.sleep(self._plan.seconds / self._plan.large_jobs)
+
     def _make_job(self) -> bytes:
         rng = self._rng
         steps: list[dict[str, object]] = [
