policy, fleet: lost answers of a worker that answers do not slow its orders

What callers would see: with, of the orders to a worker some of which are not answered (`applied_late`), stops came one after the other, each after a time-out of 0.6 s: the tasks of a cancelled job ran on for seconds.

Cause: each order without an answer halved the number at a time, as a broken connection does. A connection that broke, or could not be opened, says that fewer would do; a lost answer beside others that come does not.

Change: an order that is not answered in time counts only if the worker has answered no order for 1 s.

--- a/src/nutmegworks/fleet/order_queue.py
+++ b/src/nutmegworks/fleet/order_queue.py
@@ -221,7 +221,10 @@
         elif delivery is interfaces.Delivery.NO_CONNECTION:
             self._resume_at = now + NO_CONNECTION_PAUSE_SECONDS
         elif delivery is not None:
-            self._pace.record_failure(now)
+            if delivery is interfaces.Delivery.UNANSWERED:
+                self._pace.record_unanswered(now)
+            else:
+                self._pace.record_failure(now)
             self._log_failure(delivery, now)
 
     def _log_failure(
--- a/src/nutmegworks/policy/order_pace.py
+++ b/src/nutmegworks/policy/order_pace.py
@@ -2,7 +2,9 @@
 
 Used by the platform daemon (nutmegworks.daemon.fleet). The number halves with
 each failure and grows with answers, so that a worker that answers nothing, or
-has no connection left, gets one request at a time, after growing pauses.
+has no connection left, gets one request at a time, after growing pauses. Lost
+answers of a worker that gives others do not count: less at a time would only
+make the orders later.
 """
 from __future__ import annotations
 
@@ -19,6 +21,9 @@
 # worker that can be reached again gets its orders; clients are promised that
 # a cancelled job has stopped 3 s after its acknowledgement.
 MAX_PAUSE_SECONDS: typing.Final = 0.5
+# Longer than the time limit of a request (0.6 s): while all connections wait
+# for lost answers, none comes.
+ANSWERING_SECONDS: typing.Final = 1.0
 # For which the number stays below the one that failed.
 CEILING_SECONDS: typing.Final = 5.0
 
@@ -43,6 +48,7 @@
         self._ceiling = most
         self._ceiling_until = -math.inf
         self._failures = 0
+        self._answered_at = -math.inf
         self.resume_at = -math.inf
 
     def limit(self, now: float) -> int:
@@ -54,11 +60,17 @@
     def record_answer(self, now: float) -> None:
         """Record that the worker answered an order, whatever it said."""
         self._failures = 0
+        self._answered_at = now
         ceiling = self._ceiling if now < self._ceiling_until else self._most
         self._limit = min(ceiling, self._limit + 1)
 
+    def record_unanswered(self, now: float) -> None:
+        """Record an order that was not answered in time."""
+        if now - self._answered_at >= ANSWERING_SECONDS:
+            self.record_failure(now)
+
     def record_failure(self, now: float) -> None:
-        """Record an order without an answer.
+        """Record an order whose connection broke or could not be opened.
 
         Those that fail together, before the pause is over, count once.
         """
@@ -77,6 +89,7 @@
 
 
 __all__ = (
+    'ANSWERING_SECONDS',
     'CEILING_SECONDS',
     'INITIAL_ORDERS',
     'MAX_PAUSE_SECONDS',
--- a/tests/fleet/served_fleet.py
+++ b/tests/fleet/served_fleet.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import contextlib
+import random
 import time
 import typing
 
@@ -11,6 +12,7 @@
 from nutmegworks.fleet import worker_connections
 from nutmegworks.model import ids
 from nutmegworks.net import message
+from nutmegworks.net import server
 from nutmegworks.tasks import records
 from nutmegworks.tasks import spec
 from tests import capped_server
@@ -19,6 +21,7 @@
 from tests.soak import checker as checkers
 from tests.soak import platform
 
+UNANSWERED_SECONDS: typing.Final = 2.0
 # Room for all tasks of a test.
 RESOURCES: typing.Final = spec.Resources(512_000, 512_000, 8)
 
@@ -28,6 +31,7 @@
 
     :ivar delay: seconds by which each answer but that of a renewal comes
         later.
+    :ivar unanswered_share: of the orders, which are not answered.
     """
 
     def __init__(
@@ -38,6 +42,8 @@
     ) -> None:
         self.worker_id = worker_id
         self.delay = 0.0
+        self.unanswered_share = 0.0
+        self._rng = random.Random(57)
         self.calls: list[tuple[float, str]] = []
         self.executor = platform.WorkerStandIn(
             worker_id, RESOURCES, checker, gangs
@@ -46,8 +52,13 @@
 
     async def _handle(self, request: message.Request) -> message.Response:
         self.calls.append((time.monotonic(), request.target))
-        if self.delay and request.target != '/hold':
-            await curio.sleep(self.delay)
+        if request.target != '/hold':
+            if self._rng.random() < self.unanswered_share:
+                # For longer than the leader waits; not carried out.
+                await curio.sleep(UNANSWERED_SECONDS)
+                raise server.AbortConnection()
+            if self.delay:
+                await curio.sleep(self.delay)
         return await self.executor.handle(request)
 
     def count(self, target: str) -> int:
--- a/tests/fleet/test_order_limits.py
+++ b/tests/fleet/test_order_limits.py
@@ -177,6 +177,29 @@
     helpers.run(main)
 
 
+def test_lost_orders_do_not_hold_up_the_others() -> None:
+    """Guards against stops that come one after the other for lost answers.
+
+    Of the orders to each worker a tenth is lost while jobs are cancelled.
+    """
+
+    async def main() -> None:
+        async with served_fleet.running_fleet(2) as (fleet, term):
+            fleet.submit(JOB, _step(200, 60.0))
+            await builders.wait_until(
+                lambda: fleet.running(JOB) == 200, seconds=10.0
+            )
+            for worker in fleet.workers:
+                worker.unanswered_share = 0.1
+            fleet.cancel(JOB)
+            await builders.wait_until(
+                lambda: not fleet.running(JOB), seconds=CANCEL_SECONDS
+            )
+            assert fleet.resets == 0
+
+    helpers.run(main)
+
+
 def test_lack_of_connections_does_not_make_workers_silent() -> None:
     """Guards against runs that are lost because this host has no sockets.
 
--- a/tests/policy/test_order_pace.py
+++ b/tests/policy/test_order_pace.py
@@ -50,6 +50,19 @@
     assert pace.resume_at - now == pytest.approx(0.005)
 
 
+def test_lost_answers_of_a_worker_that_answers_do_not_count() -> None:
+    """Guards against stops that wait behind each other for lost answers."""
+    pace = _pace()
+    for _ in range(MOST):
+        pace.record_answer(1.0)
+    for now in (1.0, 1.6, 1.9):
+        pace.record_unanswered(now)
+    assert pace.limit(1.9) == MOST
+    pace.record_unanswered(2.0)
+    assert pace.limit(2.0) == 7
+    assert pace.resume_at > 2.0
+
+
 def test_number_stays_below_the_one_that_failed_for_a_time() -> None:
     """Guards against resets in each round trip while others hold a share."""
     pace = _pace()
