fleet, policy: one order that fails at once is repeated at growing intervals

What would be seen: with a stop that a worker answers with an error at once, or that raises in the leader, was repeated without a pause as long as the worker answered other orders; a leader that did nothing else would hold up all that it decides.

Cause: the pauses belonged to the worker, and answers of other orders end them.

Change: an order waits from its second repeat on, 0.1 s to 1 s from the start of its last attempt. One that raises counts as a broken connection.

Measured: test_order_outcomes.py:: test_one_stop_that_fails_at_once_is_not_sent_all_the_time, both cases failed before (more than 20 stops in 2 s) and pass.

--- a/src/nutmegworks/fleet/order_queue.py
+++ b/src/nutmegworks/fleet/order_queue.py
@@ -4,6 +4,7 @@
 import abc
 import dataclasses
 import enum
+import math
 import typing
 
 import curio
@@ -110,6 +111,8 @@
             tuple[fleet_worker.RunKey, waiting_orders.Kind],
             Order,
         ] = {}
+        # Orders that were sent in vain, with the time of their next attempt.
+        self._resting: list[tuple[float, Order]] = []
         self._pace = order_pace.OrderPace(worker_connections.ORDERS_PER_WORKER)
         self._resume_at = 0.0
         self._reviewed_at = 0.0
@@ -119,7 +122,7 @@
         self._logged_at = 0.0
 
     def __len__(self) -> int:
-        return len(self._waiting)
+        return len(self._waiting) + len(self._resting)
 
     async def add(self, order: Order) -> None:
         self._put(order)
@@ -135,7 +138,7 @@
     async def run(self) -> None:
         """Send orders until none is left."""
         try:
-            while len(self._waiting) or self._senders:
+            while len(self) or self._senders:
                 self._changed.clear()
                 pause = await self._start_senders()
                 await curio.ignore_after(pause, self._changed.wait)
@@ -150,6 +153,7 @@
         """
         await self._review()
         now = membership.steady_clock()
+        self._wake_rested(now)
         paused_until = max(self._resume_at, self._pace.resume_at)
         if now < paused_until:
             return paused_until - now
@@ -161,7 +165,15 @@
                 sender = await curio.spawn(self._send_in_turn, daemon=True)
                 if not sender.terminated:
                     self._senders.add(sender)
-        return _POLL_SECONDS[permission]
+        rest_ends_at = min((due for due, _ in self._resting), default=math.inf)
+        return min(_POLL_SECONDS[permission], rest_ends_at - now)
+
+    def _wake_rested(self, now: float) -> None:
+        rested = [order for due, order in self._resting if due <= now]
+        if rested:
+            self._resting = [row for row in self._resting if row[0] > now]
+        for order in rested:
+            self._put(order, repeated=True)
 
     async def _review(self) -> None:
         """Remove the orders that need not be sent any more."""
@@ -198,7 +210,8 @@
         return None if taken is None else self._orders.pop(taken)
 
     async def _send(self, order: Order) -> None:
-        attempt = Attempt(interfaces.Delivery.UNANSWERED, repeat=True)
+        started_at = membership.steady_clock()
+        attempt = Attempt(interfaces.Delivery.BROKEN, repeat=True)
         try:
             if await self._carrier.settle(order):
                 return
@@ -211,7 +224,12 @@
                 error=repr(error),
             )
         self._record(attempt.delivery)
-        if attempt.repeat:
+        if not attempt.repeat:
+            return
+        interval = order_pace.repeat_interval(order.attempts)
+        if started_at + interval > membership.steady_clock():
+            self._resting.append((started_at + interval, order))
+        else:
             self._put(order, repeated=True)
 
     def _record(self, delivery: interfaces.Delivery | None) -> None:
@@ -240,7 +258,7 @@
             worker=self._worker_id,
             last=delivery.value,
             failures=self._failures,
-            waiting=len(self._waiting),
+            waiting=len(self),
             limit=self._pace.limit(now),
         )
         self._logged_at = now
--- a/src/nutmegworks/policy/order_pace.py
+++ b/src/nutmegworks/policy/order_pace.py
@@ -21,6 +21,9 @@
 # worker that can be reached again gets its orders; clients are promised that
 # a cancelled job has stopped 3 s after its acknowledgement.
 MAX_PAUSE_SECONDS: typing.Final = 0.5
+# Between the starts of two attempts of one order, from the second repeat on.
+REPEAT_SECONDS: typing.Final = 0.1
+MAX_REPEAT_SECONDS: typing.Final = 1.0
 # Longer than the time limit of a request (0.6 s): while all connections wait
 # for lost answers, none comes.
 ANSWERING_SECONDS: typing.Final = 1.0
@@ -28,6 +31,20 @@
 CEILING_SECONDS: typing.Final = 5.0
 
 
+def repeat_interval(attempts: int) -> float:
+    """Return the seconds from an order's last attempt to the next one.
+
+    :param attempts: so far; the first repeat comes at once.
+
+    >>> [repeat_interval(attempts) for attempts in (1, 2, 3, 4)]
+    [0.0, 0.1, 0.2, 0.4]
+    """
+    if attempts < 2:
+        return 0.0
+    doublings = min(attempts - 2, 8)
+    return min(MAX_REPEAT_SECONDS, REPEAT_SECONDS * 2**doublings)
+
+
 class OrderPace:
     """The pace of one worker's orders; times are monotonic seconds.
 
@@ -93,7 +110,10 @@
     'CEILING_SECONDS',
     'INITIAL_ORDERS',
     'MAX_PAUSE_SECONDS',
+    'MAX_REPEAT_SECONDS',
     'MIN_PAUSE_SECONDS',
     'OrderPace',
     'PAUSE_GROWTH',
+    'REPEAT_SECONDS',
+    'repeat_interval',
 )
--- a/tests/fleet/test_order_outcomes.py
+++ b/tests/fleet/test_order_outcomes.py
@@ -208,6 +208,40 @@
     helpers.run(main)
 
 
+@pytest.mark.parametrize(
+    'outcome',
+    [interfaces.Delivery.UNANSWERED,
+     RuntimeError('odd')],
+)
+def test_one_stop_that_fails_at_once_is_not_sent_all_the_time(
+    outcome: interfaces.Delivery | Exception
+) -> None:
+    """Guards against a daemon that does nothing but repeat one order.
+
+    Other orders to the worker are answered all the while.
+    """
+
+    async def main() -> None:
+        store, fleet = _fleet('w1')
+        async with builders.running_term(store, fleet):
+            builders.put_job(store, JOB, builders.accepted())
+            await builders.wait_until(lambda: fleet.starts)
+            fleet.stop_outcomes = [outcome] * 1000
+            store.put(records.cancel_key(JOB), b'{}')
+            for number in range(20):
+                await curio.sleep(0.1)
+                builders.put_job(store, f'{number:016x}', builders.accepted())
+            assert 3 < fleet.stop_count < 20
+            fleet.stop_outcomes.clear()
+            await builders.wait_until(
+                lambda: not any(
+                    task.job_id == JOB for task, _ in fleet.running_by_id[W1]
+                )
+            )
+
+    helpers.run(main)
+
+
 def test_connections_are_closed_when_a_term_ends() -> None:
     """Guards against a former leader that keeps the next one out."""
 
