soak: ids of large jobs are not those of other jobs

The soak's own error: the generator of the large jobs had the seed of that of the others, so that both drew the same id.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -395,8 +395,9 @@
             self._job_tasks.append(await curio.spawn(self._follow_job))
 
     async def _submit_large_jobs(self) -> None:
-        # Not the seeded generator, which determines the faults and the load.
-        rng = random.Random(self._plan.seed)
+        # Not the seeded generator, which determines the faults and the load,
+        # nor one of the same seed, which draws the same ids.
+        rng = random.Random(f'large {self._plan.seed}')
         for number in range(self._plan.large_jobs):
             step = {
                 'count': rng.choice(LARGE_COUNTS),
