--- a/tests/fleet/test_order_outcomes.py
+++ b/tests/fleet/test_order_outcomes.py
@@ -8,7 +8,9 @@
 import result
 
 from nutmegworks.fleet import interfaces
+from nutmegworks.fleet import worker as fleet_worker
 from nutmegworks.model import ids
+from nutmegworks.platform import wire
 from nutmegworks.tasks import records
 from nutmegworks.tasks import workers
 from tests.fleet import builders
@@ -162,6 +164,25 @@
     helpers.run(main)
 
 
+def test_an_unreached_worker_gets_no_work_and_keeps_its_lease() -> None:
+    """Guards against starts that fail one after the other on one worker.
+
+    Its runs go on: renewals have a connection of their own.
+    """
+    store, _ = _fleet('w1')
+    item = store.item_by_key['servers/w1']
+    entry = wire.PlatformDecoder().worker(item.key, item.value)
+    worker = fleet_worker.Worker(entry, 0.0)
+    report = workers.Report(10_000, entry.incarnation, (), ())
+    worker.record_answer(report, 10.0)
+    assert worker.available(10.1)
+    worker.unreached_at = 10.2
+    assert not worker.available(10.3)
+    assert worker.renewal_lease(10.3) is not None
+    worker.record_answer(report, 10.4)
+    assert worker.available(10.5)
+
+
 def test_a_start_that_was_never_sent_is_planned_on_another_worker() -> None:
     """Guards against a task that waits for the lease of its worker."""
 
@@ -190,6 +211,7 @@
     async def main() -> None:
         store, fleet = _fleet('w1')
         fleet.start_outcomes = [Outcome.UNREACHED] * 1000
+        fleet.stop_outcomes = [interfaces.Delivery.UNREACHED] * 1000
         fleet.start_seconds = 0.3
         async with builders.running_term(store, fleet) as term:
             builders.put_job(store, JOB, builders.accepted())
